--- /dev/null
+++ b/cli/src/main/kotlin/org/godwitwick/cli/Main.kt
@@ -0,0 +1,22 @@
+package org.godwitwick.cli
+
+import picocli.CommandLine
+import picocli.CommandLine.Command
+import kotlin.system.exitProcess
+
+/** The command line of godwitwick. Exit codes: 0 success, 1 failure at run time, 2 bad usage or bad settings. */
+@Command(
+    name = "godwitwick",
+    mixinStandardHelpOptions = true,
+    version = ["godwitwick 0.1.0"],
+    description = ["Serving layer for language-model requests of very different prompt lengths."],
+    exitCodeListHeading = "Exit codes:%n",
+    exitCodeList = ["0:success", "1:failure at run time", "2:bad usage or bad settings"],
+    subcommands = [ServeCommand::class],
+)
+class GodwitwickCommand
+
+/** Runs the command line. */
+fun main(args: Array<String>) {
+    exitProcess(CommandLine(GodwitwickCommand()).execute(*args))
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/godwitwick/core/model/PromptClass.kt
@@ -0,0 +1,20 @@
+package org.godwitwick.core.model
+
+/** Class of a request by the length of its prompt. The bounds are operators' defaults. */
+enum class PromptClass(val label: String) {
+    SHORT("short"),
+    MEDIUM("medium"),
+    LONG("long"),
+    HUGE("huge"),
+}
+
+/** Upper bounds of the prompt classes, in tokens, inclusive. */
+data class ClassBounds(val shortMaxTokens: Int = 4_000, val mediumMaxTokens: Int = 32_000, val longMaxTokens: Int = 100_000) {
+    /** Class of a prompt of [promptTokens] tokens. */
+    fun classOf(promptTokens: Int): PromptClass = when {
+        promptTokens <= shortMaxTokens -> PromptClass.SHORT
+        promptTokens <= mediumMaxTokens -> PromptClass.MEDIUM
+        promptTokens <= longMaxTokens -> PromptClass.LONG
+        else -> PromptClass.HUGE
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/http/Answers.kt
@@ -0,0 +1,40 @@
+package org.godwitwick.node.http
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.godwitwick.core.error.Failure
+import org.godwitwick.core.error.Ran
+import org.godwitwick.core.model.RequestId
+import org.http4k.core.Response
+import org.http4k.core.Status
+
+/** Body of every error answer. */
+@Serializable
+data class ErrorAnswer(val error: ErrorBody)
+
+/** Content of an error answer; see the table of error kinds. */
+@Serializable
+data class ErrorBody(
+    val kind: String,
+    val message: String,
+    val ran: Ran,
+    @SerialName("retry_after_ms") val retryAfterMs: Long?,
+    @SerialName("request_id") val requestId: String,
+)
+
+/** The error body of [failure] for request [id]. */
+fun errorAnswer(failure: Failure, id: RequestId): ErrorAnswer =
+    ErrorAnswer(ErrorBody(failure.kind.code, failure.message, failure.ran, failure.retryAfterMs, id.value))
+
+/** The HTTP answer of [failure] for request [id]. */
+fun failureResponse(failure: Failure, id: RequestId): Response {
+    val response = Response(Status(failure.kind.httpStatus, failure.kind.code))
+        .header("Content-Type", "application/json")
+        .header("Request-Id", id.value)
+        .body(Json.encodeToString(errorAnswer(failure, id)))
+    val retryAfterMs = failure.retryAfterMs ?: return response
+    return response.header("Retry-After", ((retryAfterMs + MS_PER_SECOND - 1) / MS_PER_SECOND).toString())
+}
+
+private const val MS_PER_SECOND = 1_000L
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
@@ -0,0 +1,110 @@
+package org.godwitwick.node.http
+
+import io.undertow.Undertow
+import io.undertow.UndertowOptions
+import io.undertow.server.HttpServerExchange
+import io.undertow.server.handlers.BlockingHandler
+import io.undertow.util.HttpString
+import org.http4k.core.HttpHandler
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.RequestSource
+import org.http4k.core.Response
+import org.http4k.server.Http4kServer
+import org.http4k.server.ServerConfig
+import org.slf4j.LoggerFactory
+import java.io.IOException
+import java.io.InputStream
+import java.net.InetSocketAddress
+import io.undertow.server.HttpHandler as UndertowHandler
+
+/**
+ * An http4k server on Undertow that flushes after every read of the response body.
+ *
+ * http4k's own Undertow server buffers a streamed body, so that a token would reach the caller only when the buffer is full.
+ *
+ * @property maxBodyBytes largest accepted request body.
+ * @property maxHeaderBytes largest accepted request header.
+ */
+class StreamingUndertow(
+    private val host: String,
+    private val port: Int,
+    private val workerThreads: Int,
+    private val maxBodyBytes: Long = 16L * 1024 * 1024,
+    private val maxHeaderBytes: Int = 16 * 1024,
+) : ServerConfig {
+    override fun toServer(http: HttpHandler): Http4kServer {
+        val server = Undertow.builder()
+            .addHttpListener(port, host)
+            .setWorkerThreads(workerThreads)
+            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, maxBodyBytes)
+            .setServerOption(UndertowOptions.MAX_HEADER_SIZE, maxHeaderBytes)
+            .setHandler(BlockingHandler(ExchangeHandler(http)))
+            .build()
+        return RunningServer(server)
+    }
+
+    private class RunningServer(private val server: Undertow) : Http4kServer {
+        override fun start(): Http4kServer = apply { server.start() }
+
+        override fun stop(): Http4kServer = apply { server.stop() }
+
+        override fun port(): Int = (server.listenerInfo.first().address as InetSocketAddress).port
+    }
+
+    private class ExchangeHandler(private val http: HttpHandler) : UndertowHandler {
+        override fun handleRequest(exchange: HttpServerExchange) {
+            val method = try {
+                Method.valueOf(exchange.requestMethod.toString())
+            } catch (_: IllegalArgumentException) {
+                exchange.statusCode = 405
+                return
+            }
+            writeResponse(exchange, http(readRequest(exchange, method)))
+        }
+
+        private fun readRequest(exchange: HttpServerExchange, method: Method): Request {
+            val query = exchange.queryString.let { if (it.isEmpty()) "" else "?$it" }
+            val headers = exchange.requestHeaders.flatMap { values -> values.map { values.headerName.toString() to it } }
+            val length = exchange.requestContentLength.takeIf { it >= 0 }
+            return Request(method, exchange.requestPath + query)
+                .headers(headers)
+                .body(exchange.inputStream, length)
+                .source(RequestSource(exchange.sourceAddress.hostString))
+        }
+
+        private fun writeResponse(exchange: HttpServerExchange, response: Response) {
+            exchange.statusCode = response.status.code
+            response.headers.groupBy({ it.first }, { it.second ?: "" })
+                .forEach { (name, values) -> exchange.responseHeaders.putAll(HttpString(name), values) }
+            response.body.stream.use { body -> copyOrAbort(exchange, body) }
+        }
+
+        // A body that fails midway closes the connection without the last chunk, so that a client can't take it for a whole answer.
+        private fun copyOrAbort(exchange: HttpServerExchange, body: InputStream) {
+            try {
+                copyFlushing(exchange, body)
+            } catch (e: IOException) {
+                log.debug("http: response aborted: {}", e.message)
+                exchange.connection.close()
+            }
+        }
+
+        private fun copyFlushing(exchange: HttpServerExchange, body: InputStream) {
+            val out = exchange.outputStream
+            val buffer = ByteArray(COPY_BUFFER_BYTES)
+            while (true) {
+                val count = body.read(buffer)
+                if (count < 0) break
+                out.write(buffer, 0, count)
+                out.flush()
+            }
+            out.close()
+        }
+    }
+
+    private companion object {
+        const val COPY_BUFFER_BYTES = 16 * 1024
+        val log = LoggerFactory.getLogger(StreamingUndertow::class.java)
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/NoPeers.kt
@@ -0,0 +1,17 @@
+package org.godwitwick.node.peer
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import org.godwitwick.core.model.InstanceId
+
+/** The peer network of an instance that runs alone. */
+class NoPeers : PeerNetwork {
+    override fun livePeers(): List<Peer> = emptyList()
+
+    override fun send(to: InstanceId, message: PeerMessage) = Unit
+
+    override fun request(to: InstanceId, message: PeerMessage, timeoutMs: Long): Result<PeerMessage, PeerFailure> =
+        Err(PeerFailure.NotSent("no peer network"))
+
+    override fun <M : PeerMessage> handle(type: Class<M>, handler: (from: InstanceId, message: M) -> PeerMessage?) = Unit
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/GenerateService.kt
@@ -0,0 +1,16 @@
+package org.godwitwick.node.upstream
+
+import com.github.michaelbull.result.Result
+import org.godwitwick.core.error.Failure
+import org.godwitwick.core.model.GenerateRequest
+import org.godwitwick.core.model.OrganisationId
+import org.godwitwick.core.model.RequestId
+
+/** Runs model requests on the fleet: admission, placement, dispatch, resumption. */
+interface GenerateService {
+    /** Starts [request] and returns its stream, or the failure when it was not admitted or not dispatched. */
+    fun start(request: GenerateRequest): Result<TokenStream, Failure>
+
+    /** Cancels the request with the given [request id][id] of [organisation]; false when there is none in flight. */
+    fun cancel(organisation: OrganisationId, id: RequestId): Boolean
+}
