--- /dev/null
+++ b/core/src/main/kotlin/org/godwitwick/core/config/ConfigScope.kt
@@ -0,0 +1,57 @@
+package org.godwitwick.core.config
+
+import kotlinx.serialization.Serializable
+
+/** What an entry of the configuration applies to. `fleet` is a default, everything else an exception. */
+@JvmInline
+@Serializable
+value class ConfigScope(val value: String) {
+    /** Kind of the scope, or null when [value] is malformed. */
+    val kind: ScopeKind? get() = ScopeKind.entries.firstOrNull { it.matches(value) }
+
+    override fun toString(): String = value
+
+    companion object {
+        /** The scope of the fleet-wide defaults. */
+        val FLEET = ConfigScope("fleet")
+
+        /** The scope of kind [kind] that names [name]. */
+        fun of(kind: ScopeKind, name: String): ConfigScope = ConfigScope("${kind.prefix}:$name")
+    }
+}
+
+/** Kinds of scopes, from the most specific to the least. The first kind with an entry wins. */
+enum class ScopeKind(val prefix: String) {
+    ORGANISATION("organisation"),
+    MODEL("model"),
+    SERVICE("service"),
+    CLASS("class"),
+    DATA_CENTRE("dataCentre"),
+    FLEET("fleet"),
+    ;
+
+    /** Whether [scope] is a well-formed scope of this kind. */
+    fun matches(scope: String): Boolean = when (this) {
+        FLEET -> scope == prefix
+        else -> scope.startsWith("$prefix:") && scope.length > prefix.length + 1
+    }
+}
+
+/** Whom a configuration value is looked up for. */
+data class ConfigSubject(
+    val organisation: String? = null,
+    val model: String? = null,
+    val service: String? = null,
+    val promptClass: String? = null,
+    val dataCentre: String? = null,
+) {
+    /** The scopes that apply to this subject, the most specific first. */
+    fun scopes(): List<ConfigScope> = listOfNotNull(
+        organisation?.let { ConfigScope.of(ScopeKind.ORGANISATION, it) },
+        model?.let { ConfigScope.of(ScopeKind.MODEL, it) },
+        service?.let { ConfigScope.of(ScopeKind.SERVICE, it) },
+        promptClass?.let { ConfigScope.of(ScopeKind.CLASS, it) },
+        dataCentre?.let { ConfigScope.of(ScopeKind.DATA_CENTRE, it) },
+        ConfigScope.FLEET,
+    )
+}
