--- /dev/null
+++ b/lab/src/test/kotlin/org/godwitwick/lab/FaultMatrixTest.kt
@@ -0,0 +1,94 @@
+package org.godwitwick.lab
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.io.path.extension
+import kotlin.io.path.nameWithoutExtension
+import kotlin.io.path.readText
+
+/** Guards against a fault matrix that names tests which do not exist or leaves cells without an answer. */
+class FaultMatrixTest {
+    private val page = FaultMatrixPage(repositoryRoot().resolve("docs/fault-matrix.md").readText())
+
+    @Test
+    fun `every cell names a test or a reason or says not proved`() {
+        expectThat(page.cells.size).isGreaterThan(0)
+        val malformed = page.cells.filter { cell ->
+            cell.entries.isEmpty() || cell.entries.any { it != NOT_PROVED && it !in page.tests && it !in page.reasons }
+        }
+        expectThat(malformed).isEmpty()
+    }
+
+    @Test
+    fun `every named test exists in the sources`() {
+        val sources = testSources()
+        val missing = page.tests.filterValues { test -> sources[test.className]?.contains("fun `${test.name}`") != true }
+        expectThat(missing).isEmpty()
+    }
+
+    @Test
+    fun `every listed test and reason is used by a cell`() {
+        val used = page.cells.flatMap { it.entries }.toSet()
+        expectThat((page.tests.keys + page.reasons.keys) - used).isEmpty()
+    }
+
+    @Test
+    fun `the list of what is not proved matches the open cells`() {
+        val open = page.cells.filter { NOT_PROVED in it.entries }.map { "${it.step}: ${it.fault}" }
+        expectThat(page.notProved.sorted()).isEqualTo(open.sorted())
+    }
+
+    private fun testSources(): Map<String, String> = Files.walk(repositoryRoot()).use { paths ->
+        paths.filter { it.extension == "kt" && it.toString().contains("src/test/kotlin") }
+            .toList()
+            .associate { it.nameWithoutExtension to it.readText() }
+    }
+
+    private companion object {
+        const val NOT_PROVED = "?"
+
+        fun repositoryRoot(): Path = generateSequence(Path.of("").toAbsolutePath()) { it.parent }
+            .first { Files.exists(it.resolve("docs/design.md")) }
+    }
+}
+
+/** A cell of the matrix: the answers for one [fault] at one [step]. */
+private data class MatrixCell(val step: String, val fault: String, val entries: List<String>)
+
+/** A test that a cell refers to. */
+private data class NamedTest(val className: String, val name: String)
+
+/** The parsed page `docs/fault-matrix.md`. */
+private class FaultMatrixPage(text: String) {
+    private val lines = text.lines()
+
+    val tests: Map<String, NamedTest> = section("Tests").mapNotNull { TEST_LINE.matchEntire(it) }
+        .associate { it.groupValues[1] to NamedTest(it.groupValues[2], it.groupValues[3]) }
+
+    val reasons: Set<String> = section("Cells that can't occur").mapNotNull { REASON_LINE.find(it)?.groupValues?.get(1) }.toSet()
+
+    val notProved: List<String> = section("Not proved").filter { it.startsWith("- ") }.map { it.removePrefix("- ") }
+
+    val cells: List<MatrixCell> = section("Matrix").filter { it.startsWith("|") }.let { rows ->
+        val faults = columns(rows.first()).drop(1)
+        rows.drop(2).flatMap { row ->
+            val values = columns(row)
+            faults.mapIndexed { i, fault -> MatrixCell(values[0], fault, values.getOrElse(i + 1) { "" }.split(" ").filter(String::isNotEmpty)) }
+        }
+    }
+
+    private fun section(title: String): List<String> =
+        lines.dropWhile { it != "## $title" }.drop(1).takeWhile { !it.startsWith("## ") }
+
+    private fun columns(row: String): List<String> = row.trim().trim('|').split("|").map { it.trim() }
+
+    private companion object {
+        val TEST_LINE = Regex("- (\\w+): `(\\w+)` `(.+)`")
+        val REASON_LINE = Regex("- (\\w+): \\S")
+    }
+}
