--- /dev/null
+++ b/core/src/main/kotlin/org/godwitwick/core/admission/AdmissionConfig.kt
@@ -0,0 +1,36 @@
+package org.godwitwick.core.admission
+
+import org.godwitwick.core.config.ConfigField
+import org.godwitwick.core.config.ConfigSubject
+import org.godwitwick.core.config.ConfigView
+import org.godwitwick.core.model.ClassBounds
+import org.godwitwick.core.model.OrganisationId
+import org.godwitwick.core.model.PromptClass
+
+/** The published values that admission of one model in one data centre reads. */
+class AdmissionConfig(private val config: ConfigView, private val model: String, private val dataCentre: String) {
+    /** Bounds of the prompt classes. */
+    val classBounds: ClassBounds
+        get() = ClassBounds(
+            shortMaxTokens = config.whole(ConfigField.SHORT_MAX_TOKENS, ConfigSubject(model = model)).toInt(),
+            mediumMaxTokens = config.whole(ConfigField.MEDIUM_MAX_TOKENS, ConfigSubject(model = model)).toInt(),
+            longMaxTokens = config.whole(ConfigField.LONG_MAX_TOKENS, ConfigSubject(model = model)).toInt(),
+        )
+
+    /** Largest fraction of the replicas that long reads may occupy. */
+    val longShare: Double get() = config.fraction(ConfigField.LONG_SHARE, ConfigSubject(model = model, dataCentre = dataCentre))
+
+    /** Largest number of waiting requests of [promptClass]. */
+    fun queueMax(promptClass: PromptClass): Int =
+        config.whole(ConfigField.QUEUE_MAX, ConfigSubject(model = model, promptClass = promptClass.label)).toInt()
+
+    /** Weight of [organisation] in the fair order. */
+    fun weightOf(organisation: OrganisationId): Double =
+        config.fraction(ConfigField.ORGANISATION_WEIGHT, ConfigSubject(organisation = organisation.value))
+
+    companion object {
+        /** Fleet-wide limit of [organisation] in work tokens per second. */
+        fun limitOf(config: ConfigView, organisation: OrganisationId): Double =
+            config.whole(ConfigField.ORGANISATION_WORK, ConfigSubject(organisation = organisation.value)).toDouble()
+    }
+}
