Bind placement and admission to an instance

Posting each dispatch to the control thread was ruled out: two traffic threads that decide before it runs would choose the same replica.

AdmissionGate decides on the control thread. The waiting thread and the control thread complete the same future, so a request whose deadline passes is never admitted unseen.

--- a/core/src/main/kotlin/org/godwitwick/core/admission/AdmissionConfig.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/admission/AdmissionConfig.kt
@@ -7,8 +7,10 @@
 import org.godwitwick.core.model.OrganisationId
 import org.godwitwick.core.model.PromptClass
 
-/** The published values that admission of one model in one data centre reads. */
-class AdmissionConfig(private val config: ConfigView, private val model: String, private val dataCentre: String) {
+/** The published values that admission of one model in one data centre reads. Each read asks [view] for the present configuration. */
+class AdmissionConfig(private val view: () -> ConfigView, private val model: String, private val dataCentre: String) {
+    private val config: ConfigView get() = view()
+
     /** Bounds of the prompt classes. */
     val classBounds: ClassBounds
         get() = ClassBounds(
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/control/AdmissionGate.kt
@@ -0,0 +1,213 @@
+package org.godwitwick.node.control
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import org.godwitwick.core.admission.AdmissionCapacity
+import org.godwitwick.core.admission.AdmissionConfig
+import org.godwitwick.core.admission.AdmissionController
+import org.godwitwick.core.admission.AdmissionDecision
+import org.godwitwick.core.admission.AdmissionRequest
+import org.godwitwick.core.admission.Demand
+import org.godwitwick.core.admission.DemandTable
+import org.godwitwick.core.admission.LongShare
+import org.godwitwick.core.admission.OrganisationLimits
+import org.godwitwick.core.config.ConfigView
+import org.godwitwick.core.error.ErrorKind
+import org.godwitwick.core.error.Failure
+import org.godwitwick.core.error.Ran
+import org.godwitwick.core.model.GenerateRequest
+import org.godwitwick.core.model.InstanceId
+import org.godwitwick.core.model.ListedInstance
+import org.godwitwick.core.model.ListedKind
+import org.godwitwick.core.placement.PlacementRequest
+import org.godwitwick.core.placement.ReplicaView
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ExecutionException
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.random.Random
+
+/** Permission to dispatch one admitted request. [close] must be called when the request has ended, however it ended. */
+interface Ticket : AutoCloseable {
+    /** Records that the first token came, which frees the request's part of the long-read share. */
+    fun onFirstToken(nowMs: Long)
+
+    override fun close()
+}
+
+/** Where and for whom an [AdmissionGate] works. */
+data class GatePlace(val instance: InstanceId, val dataCentre: String, val startedAtMs: Long, val seed: Long)
+
+/**
+ * Admits requests. Decisions are made on the control thread; a traffic thread waits for its own at most until the request's deadline,
+ * whatever the control thread does.
+ */
+class AdmissionGate(
+    private val place: GatePlace,
+    private val control: ControlThread,
+    private val directory: ReplicaDirectory,
+    private val config: () -> ConfigView,
+    private val nowMs: () -> Long,
+) {
+    private class Pending(val answer: CompletableFuture<Result<Ticket, Failure>>, val model: String)
+
+    private val controllers = HashMap<String, AdmissionController<Pending>>()
+    private val table = DemandTable(place.instance, place.startedAtMs)
+    private val limits = OrganisationLimits(table, place.startedAtMs) { AdmissionConfig.limitOf(config(), it) }
+    private val shorterWork = HashMap<String, Double>()
+    private val shorterArrived = HashMap<String, Long>()
+    private var localInstances = 1
+    private var measured: Demand? = null
+    private var measuredAtMs = place.startedAtMs
+
+    /** Rows about demand, for the exchange between instances. */
+    val demandRows: PeerRows = DemandRows(table) { measured }
+
+    /** Starts the periodic work on the control thread. */
+    fun start() {
+        control.every(MEASURE_MS, ::measure)
+        control.every(RELEASE_MS, ::releaseAll)
+    }
+
+    /** Takes the instance list; on the control thread. */
+    fun onList(instances: List<ListedInstance>) {
+        val entries = instances.filter { it.kind == ListedKind.ENTRY }
+        table.onList(entries.mapTo(HashSet()) { it.id }, nowMs())
+        localInstances = entries.count { it.dataCentre == place.dataCentre }.coerceAtLeast(1)
+    }
+
+    /** Whether the other instances count this one in; until then every organisation's part is zero. On the control thread. */
+    fun isSettled(): Boolean = table.isSettled(nowMs())
+
+    /** Forgets peers and admits slowly at first, as after a pause of the process; on the control thread. */
+    fun onResumed() {
+        table.clear()
+        controllers.values.forEach { it.startRecovery(nowMs()) }
+    }
+
+    /** Waits until [request] may be dispatched, at most until its deadline. */
+    fun admit(request: GenerateRequest, nowMs: Long): Result<Ticket, Failure> {
+        val answer = CompletableFuture<Result<Ticket, Failure>>()
+        val work = PlacementRequest(request.promptTokens, request.maxTokens, request.promptClass, LongArray(0)).workWith(0)
+        val wanted = AdmissionRequest(request.organisation, request.promptClass, work, request.deadline)
+        control.post { arrive(wanted, Pending(answer, request.model)) }
+        return try {
+            answer.get(request.deadline.remainingMs(nowMs), TimeUnit.MILLISECONDS)
+        } catch (_: TimeoutException) {
+            giveUp(answer)
+        } catch (e: ExecutionException) {
+            Err(Failure(ErrorKind.INTERNAL, "admission failed: ${e.cause?.javaClass?.simpleName}", ran = Ran.NO))
+        } catch (_: InterruptedException) {
+            Thread.currentThread().interrupt()
+            giveUp(answer)
+        }
+    }
+
+    // Only one of this thread and the control thread completes the answer, so an admission can't be lost between them.
+    private fun giveUp(answer: CompletableFuture<Result<Ticket, Failure>>): Result<Ticket, Failure> {
+        val late = Err(Failure(ErrorKind.DEADLINE_EXCEEDED, "the request waited until its deadline", ran = Ran.NO))
+        return if (answer.complete(late)) late else answer.get()
+    }
+
+    private fun arrive(request: AdmissionRequest, pending: Pending) {
+        if (pending.answer.isDone) return
+        val now = nowMs()
+        if (!request.isLongRead) shorterArrived.merge(pending.model, request.work.prefillTokens, Long::plus)
+        limits.charge(request.organisation, request.work.workTokens, now)?.let {
+            pending.answer.complete(Err(it))
+            return
+        }
+        val controller = controllerOf(pending.model, now)
+        controller.arrive(request, pending, now).forEach { answer(controller, it, now) }
+        release(controller, now)
+    }
+
+    private fun release(controller: AdmissionController<Pending>, now: Long) {
+        controller.release(now).forEach { answer(controller, it, now) }
+    }
+
+    private fun releaseAll() {
+        val now = nowMs()
+        controllers.forEach { (model, controller) ->
+            controller.onCapacity(capacityOf(model, now), now)
+            release(controller, now)
+        }
+    }
+
+    private fun answer(controller: AdmissionController<Pending>, decision: AdmissionDecision<Pending>, now: Long) {
+        val failure = decision.failure
+        val pending = decision.item
+        if (failure != null) {
+            limits.refund(decision.request.organisation, decision.request.work.workTokens)
+            pending.answer.complete(Err(failure))
+            return
+        }
+        val ticket = GateTicket(controller, decision.request, now)
+        if (!pending.answer.complete(Ok(ticket))) {
+            limits.refund(decision.request.organisation, decision.request.work.workTokens)
+            ticket.close()
+        }
+    }
+
+    private fun controllerOf(model: String, now: Long): AdmissionController<Pending> = controllers.getOrPut(model) {
+        AdmissionController<Pending>(
+            AdmissionConfig(config, model, place.dataCentre),
+            Random(place.seed + model.hashCode()),
+        ).also { it.onCapacity(capacityOf(model, now), now) }
+    }
+
+    private fun capacityOf(model: String, now: Long): AdmissionCapacity {
+        val replicas = directory.table(model)?.local?.size ?: 0
+        val speed = directory.table(model)?.let { table -> table.local.firstOrNull()?.let { table.replica(it) } }
+            ?.prefillTokensPerSecond ?: ReplicaView.DEFAULT_PREFILL_TOKENS_PER_SECOND
+        val share = AdmissionConfig(config, model, place.dataCentre).longShare
+        val fraction = table.shareInDataCentre(1.0, place.dataCentre, localInstances, now)
+        val shorterReplicas = (shorterWork[model] ?: 0.0) / fraction.coerceAtLeast(MIN_FRACTION) / speed
+        val long = LongShare.replicasFor(replicas, share, shorterReplicas)
+        val ofPeers = table.longReadsOfPeers(place.dataCentre, localInstances, now)
+        return AdmissionCapacity(replicas, speed, fraction, LongShare.allowedHere(long, ofPeers, localInstances))
+    }
+
+    private fun measure() {
+        val now = nowMs()
+        val seconds = (now - measuredAtMs).coerceAtLeast(1) / MS_PER_SECOND
+        measuredAtMs = now
+        controllers.keys.forEach { model ->
+            val perSecond = (shorterArrived.remove(model) ?: 0L) / seconds
+            shorterWork.merge(model, perSecond) { before, newer -> before + (newer - before) * SMOOTHING }
+        }
+        measured = limits.measure(place.dataCentre, controllers.values.sumOf { it.longReads }, now)
+    }
+
+    private inner class GateTicket(
+        private val controller: AdmissionController<Pending>,
+        private val request: AdmissionRequest,
+        private val admittedAtMs: Long,
+    ) : Ticket {
+        private val isPrefilled = AtomicBoolean()
+
+        override fun onFirstToken(nowMs: Long) = prefilled(nowMs, isFirstToken = true)
+
+        override fun close() = prefilled(nowMs(), isFirstToken = false)
+
+        private fun prefilled(atMs: Long, isFirstToken: Boolean) {
+            if (!isPrefilled.compareAndSet(false, true)) return
+            control.post {
+                controller.onPrefilled(request, atMs - admittedAtMs, isFirstToken)
+                release(controller, nowMs())
+            }
+        }
+    }
+
+    private companion object {
+        const val MEASURE_MS = 1_000L
+
+        /** Requests are released at once when capacity is freed; this only covers lost rows, deadlines and the recovery ramp. */
+        const val RELEASE_MS = 50L
+        const val SMOOTHING = 0.3
+        const val MIN_FRACTION = 0.05
+        const val MS_PER_SECOND = 1_000.0
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/control/DemandRows.kt
@@ -0,0 +1,36 @@
+package org.godwitwick.node.control
+
+import org.godwitwick.core.admission.Demand
+import org.godwitwick.core.admission.DemandTable
+import org.godwitwick.core.model.InstanceId
+import org.godwitwick.core.model.OrganisationId
+
+/** Rows about each instance's demand by organisation. [own] is the last measured demand. */
+class DemandRows(private val table: DemandTable, private val own: () -> Demand?) : PeerRows {
+    override val kind: String get() = "demand"
+
+    override fun encode(nowMs: Long): ByteArray {
+        val demand = own() ?: Demand(nowMs, table.countedInstances(nowMs), emptyMap())
+        val entries = demand.workPerSecond.entries.toList()
+        return RowCodec.encode(
+            DemandRow.serializer(),
+            DemandRow(
+                demand.atMs,
+                demand.countedInstances,
+                demand.longReads,
+                demand.dataCentre,
+                entries.map { it.key.value },
+                entries.map { it.value.toLong() },
+            ),
+        )
+    }
+
+    override fun accept(from: InstanceId, row: ByteArray, nowMs: Long) {
+        val decoded = RowCodec.decode(DemandRow.serializer(), row) ?: return
+        val work = decoded.organisations.zip(decoded.workPerSecond).associate { (id, work) ->
+            OrganisationId(id) to
+                work.toDouble()
+        }
+        table.onRow(from, Demand(decoded.atMs, decoded.countedInstances, work, decoded.longReads, decoded.dataCentre), nowMs)
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/control/DirectorySelector.kt
@@ -0,0 +1,104 @@
+package org.godwitwick.node.control
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import org.godwitwick.core.error.ErrorKind
+import org.godwitwick.core.error.Failure
+import org.godwitwick.core.model.GenerateRequest
+import org.godwitwick.core.model.InstanceId
+import org.godwitwick.core.model.RequestId
+import org.godwitwick.core.placement.ExpectedFirstToken
+import org.godwitwick.core.placement.PlacementPolicy
+import org.godwitwick.core.placement.PlacementRequest
+import org.godwitwick.core.placement.ReplicaView
+import org.godwitwick.core.placement.SentWork
+import org.godwitwick.node.upstream.DispatchEnd
+import org.godwitwick.node.upstream.ReplicaSelector
+import org.godwitwick.node.upstream.SelectedReplica
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.math.ceil
+import kotlin.random.Random
+
+/**
+ * Selects replicas from the directory by a placement policy and accounts for the work sent.
+ *
+ * @param seed start of the sampling's random numbers.
+ */
+class DirectorySelector(
+    private val directory: ReplicaDirectory,
+    private val sentRows: SentRows,
+    private val policy: PlacementPolicy = ExpectedFirstToken(),
+    seed: Long,
+) : ReplicaSelector {
+    private data class DispatchKey(val replica: InstanceId, val request: RequestId)
+
+    private val groupPolicy = policy as? ExpectedFirstToken ?: ExpectedFirstToken()
+    private val waiting = ConcurrentHashMap<DispatchKey, Long>()
+    private val running = ConcurrentHashMap.newKeySet<DispatchKey>()
+    private val seeds = AtomicLong(seed)
+
+    // The generator isn't safe for use by several threads.
+    private val randoms = ThreadLocal.withInitial { Random(seeds.getAndIncrement()) }
+
+    override fun select(request: GenerateRequest, excluded: Set<InstanceId>, nowMs: Long): Result<SelectedReplica, Failure> {
+        val table = directory.table(request.model) ?: return Err(noReplica(request))
+        val wanted = PlacementRequest.of(request)
+        val placement = policy.choose(wanted, table, slots(excluded), nowMs, randoms.get()) ?: return Err(noReplica(request))
+        account(placement.replica, request, placement.prefillTokens, wanted.kvTokens, nowMs)
+        return Ok(selected(placement.replica))
+    }
+
+    override fun selectGroup(
+        request: GenerateRequest,
+        excluded: Set<InstanceId>,
+        nowMs: Long,
+    ): Result<List<SelectedReplica>, Failure> {
+        val table = directory.table(request.model) ?: return Err(noReplica(request))
+        val wanted = PlacementRequest.of(request)
+        val capacity =
+            table.local.asSequence().firstNotNullOfOrNull { table.replica(it)?.kvCapacityTokens }
+                ?: return Err(noReplica(request))
+        val count = ceil(wanted.kvTokens / (capacity * USABLE_FRACTION)).toInt().coerceAtLeast(MIN_GROUP)
+        if (count > MAX_GROUP) return Err(Failure(ErrorKind.TOO_LARGE, "the prompt needs more than $MAX_GROUP engines"))
+        val members = groupPolicy.chooseGroup(wanted, count, table, slots(excluded), nowMs, randoms.get())
+            ?: return Err(noReplica(request))
+        members.forEach { account(it, request, wanted.promptTokens.toLong() / count, wanted.kvTokens / count, nowMs) }
+        return Ok(members.map(::selected))
+    }
+
+    override fun onFirstToken(replica: InstanceId, request: GenerateRequest, nowMs: Long) {
+        val tokens = waiting.remove(DispatchKey(replica, request.id)) ?: return
+        directory.cell(replica)?.update { it.withStarted(tokens) }
+    }
+
+    override fun onEnd(replica: InstanceId, request: GenerateRequest, end: DispatchEnd, nowMs: Long) {
+        onFirstToken(replica, request, nowMs)
+        if (running.remove(DispatchKey(replica, request.id))) directory.cell(replica)?.update { it.withEnded() }
+    }
+
+    private fun account(replica: ReplicaView, request: GenerateRequest, prefillTokens: Long, kvTokens: Long, nowMs: Long) {
+        val key = DispatchKey(replica.id, request.id)
+        val work = SentWork(nowMs, request.promptClass, prefillTokens, kvTokens)
+        waiting[key] = prefillTokens
+        running.add(key)
+        directory.cell(replica.id)?.update { it.withDispatch(work) }
+        sentRows.onDispatch(replica.id, work)
+    }
+
+    private fun slots(ids: Set<InstanceId>): Set<Int> = ids.mapNotNullTo(HashSet()) { directory.cell(it)?.slot }
+
+    private fun selected(replica: ReplicaView) = SelectedReplica(replica.id, replica.address, replica.kvCapacityTokens)
+
+    private fun noReplica(request: GenerateRequest) =
+        Failure(ErrorKind.NO_UPSTREAM, "no usable replica of model ${request.model} in reach")
+
+    private companion object {
+        const val MIN_GROUP = 2
+        const val MAX_GROUP = 4
+
+        /** The rest of an engine's memory is left to shorter requests. */
+        const val USABLE_FRACTION = 0.9
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/control/ModelTable.kt
@@ -0,0 +1,19 @@
+package org.godwitwick.node.control
+
+import org.godwitwick.core.placement.CacheIndex
+import org.godwitwick.core.placement.ReplicaTable
+import org.godwitwick.core.placement.ReplicaView
+
+/** Immutable set of one model's replicas; loads and cache index behind it are kept up to date. */
+class ModelTable(
+    override val local: IntArray,
+    override val remote: IntArray,
+    private val cells: Map<Int, ReplicaCell>,
+    private val index: CacheIndex,
+) : ReplicaTable {
+    override fun replica(slot: Int): ReplicaView? = cells[slot]?.takeIf { it.isOpen }?.view()
+
+    override fun cachedBlocks(slot: Int, blocks: LongArray): Int = index.cachedBlocks(slot, blocks)
+
+    override fun longestHolders(blocks: LongArray): IntArray = index.longestHolders(blocks)
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/control/ReplicaDirectory.kt
@@ -0,0 +1,167 @@
+package org.godwitwick.node.control
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborArray
+import org.godwitwick.core.model.InstanceId
+import org.godwitwick.core.model.ListedInstance
+import org.godwitwick.core.model.ListedKind
+import org.godwitwick.core.model.ListedState
+import org.godwitwick.core.placement.CacheEvent
+import org.godwitwick.core.placement.CacheIndex
+import org.godwitwick.core.placement.LoadReport
+import org.godwitwick.core.placement.ReplicaView
+import org.godwitwick.core.placement.SentWork
+import org.slf4j.LoggerFactory
+import java.util.concurrent.ConcurrentHashMap
+
+/** Load of one model in another data centre, as its delegate summarises it: means over its replicas and a few gateways. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+@CborArray
+data class DataCentreSummary(
+    val model: String,
+    val dataCentre: String,
+    val atMs: Long,
+    val replicas: Int,
+    val queuedPrefillTokens: Long,
+    val freeKvTokens: Long,
+    val gateways: List<InstanceId>,
+)
+
+/**
+ * The replicas that an instance may choose from. The control thread changes it; [table] and [cell] may be read by any thread.
+ *
+ * @param region region of the instance; replicas elsewhere are ignored.
+ * @param dataCentre data centre of the instance.
+ */
+class ReplicaDirectory(private val region: String, private val dataCentre: String) {
+    private class Snapshot(val cells: Map<InstanceId, ReplicaCell>, val tables: Map<String, ModelTable>)
+
+    private val indexes = ConcurrentHashMap<String, CacheIndex>()
+    private val gateways = HashMap<Pair<String, String>, Set<InstanceId>>()
+    private var listed: List<ListedInstance> = emptyList()
+    private var nextSlot = 0
+
+    @Volatile
+    private var snapshot = Snapshot(emptyMap(), emptyMap())
+
+    /** Replicas of [model], or null when none is known. */
+    fun table(model: String): ModelTable? = snapshot.tables[model]
+
+    /** The replica [id], or null. */
+    fun cell(id: InstanceId): ReplicaCell? = snapshot.cells[id]
+
+    /** Models that have replicas in the instance's data centre. */
+    val models: Set<String> get() = snapshot.tables.keys
+
+    /** Takes the instance list. A replica that is listed with the same address keeps what is known of it. */
+    fun onList(instances: List<ListedInstance>) {
+        if (instances == listed) return
+        listed = instances
+        rebuild()
+    }
+
+    /**
+     * Takes a load report, read by this instance or received in a row. A restarted engine has an empty cache. A report from a clock
+     * that is ahead counts as read now; otherwise work sent until that time would be taken as included in it.
+     */
+    fun onReport(replica: InstanceId, received: LoadReport, nowMs: Long) {
+        val report = if (received.atMs > nowMs) received.copy(atMs = nowMs) else received
+        val cell = snapshot.cells[replica] ?: return
+        val before = cell.load.report
+        if (before != null && before.incarnation != report.incarnation) indexOf(cell).forget(cell.slot)
+        cell.update { it.withReport(report) }
+        val isOpen = cell.listed.state == ListedState.LIVE && cell.load.report?.isLeaving != true
+        if (cell.isOpen == isOpen) return
+        cell.isOpen = isOpen
+        log.info("place: replica {} {} new work", replica, if (isOpen) "accepts" else "is leaving and gets no")
+        rebuild()
+    }
+
+    /** Marks [replica] as dead until its next report; its cache is forgotten. */
+    fun onDead(replica: InstanceId) {
+        val cell = snapshot.cells[replica] ?: return
+        cell.isOpen = false
+        indexOf(cell).forget(cell.slot)
+        log.warn("place: replica {} is taken out until it reports again", replica)
+        rebuild()
+    }
+
+    /** Takes cache events of [replica]. */
+    fun onCacheEvents(replica: InstanceId, events: List<CacheEvent>) {
+        val cell = snapshot.cells[replica] ?: return
+        indexOf(cell).apply(cell.slot, events)
+    }
+
+    /** Takes work that a peer sent to [replica]. */
+    fun onSentByPeer(replica: InstanceId, work: SentWork) {
+        snapshot.cells[replica]?.update { it.withSent(work) }
+    }
+
+    /** Takes the summary of another data centre of the region. Each gateway is taken to have the mean load. */
+    fun onSummary(summary: DataCentreSummary) {
+        if (summary.dataCentre == dataCentre || summary.replicas <= 0) return
+        val key = summary.model to summary.dataCentre
+        val ids = summary.gateways.take(MAX_GATEWAYS).toSet()
+        if (gateways.put(key, ids) != ids) rebuild()
+        ids.forEach { id -> snapshot.cells[id]?.update { it.withReport(meanReport(summary)) } }
+    }
+
+    /** Forgets all loads and caches, as after a pause of the process. */
+    fun clear() {
+        snapshot.cells.values.forEach { indexOf(it).forget(it.slot) }
+        snapshot = Snapshot(emptyMap(), emptyMap())
+        rebuild()
+    }
+
+    private fun rebuild() {
+        val known = snapshot.cells
+        val allGateways = gateways.values.flatten().toSet()
+        val engines = listed.filter {
+            it.kind == ListedKind.ENGINE && it.region == region && (it.dataCentre == dataCentre || it.id in allGateways)
+        }
+        val cells = engines.associate { row -> row.id to cellFor(row, known[row.id]) }
+        (known.values - cells.values.toSet()).forEach { indexOf(it).forget(it.slot) }
+        val tables = cells.values.groupBy { it.listed.name }.mapValues { (model, ofModel) ->
+            val (local, remote) = ofModel.filter { it.isOpen }.partition { it.listed.dataCentre == dataCentre }
+            ModelTable(slots(local), slots(remote), ofModel.associateBy { it.slot }, indexFor(model))
+        }
+        snapshot = Snapshot(cells, tables)
+    }
+
+    private fun cellFor(row: ListedInstance, known: ReplicaCell?): ReplicaCell {
+        if (known != null && known.listed == row) return known
+        val isSameProcess = known != null && known.listed.address == row.address && known.listed.name == row.name
+        val slot = if (isSameProcess) known.slot else nextSlot++
+        return ReplicaCell(slot, row, if (row.dataCentre == dataCentre) LOCAL_NETWORK_MS else REMOTE_NETWORK_MS).apply {
+            if (isSameProcess) update { known.load }
+            isOpen = row.state == ListedState.LIVE && load.report?.isLeaving != true
+        }
+    }
+
+    private fun slots(cells: List<ReplicaCell>) = cells.map { it.slot }.sorted().toIntArray()
+
+    private fun indexOf(cell: ReplicaCell) = indexFor(cell.listed.name)
+
+    // Traffic threads read the holders while the control thread writes, hence the concurrent map.
+    private fun indexFor(model: String) = indexes.getOrPut(model) { CacheIndex(ConcurrentHashMap()) }
+
+    private fun meanReport(summary: DataCentreSummary) = LoadReport(
+        incarnation = "summary",
+        atMs = summary.atMs,
+        queuedPrefillTokens = listOf(summary.queuedPrefillTokens / summary.replicas),
+        freeKvTokens = summary.freeKvTokens / summary.replicas,
+        kvCapacityTokens = ReplicaView.DEFAULT_KV_TOKENS,
+        prefillTokensPerSecond = ReplicaView.DEFAULT_PREFILL_TOKENS_PER_SECOND,
+    )
+
+    private companion object {
+        val log = LoggerFactory.getLogger(ReplicaDirectory::class.java)
+        const val LOCAL_NETWORK_MS = 1.0
+
+        /** Data centres of a region are about 1 ms apart, and the answer's way back and the colder cache cost more. */
+        const val REMOTE_NETWORK_MS = 20.0
+        const val MAX_GATEWAYS = 8
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/control/SentRows.kt
@@ -0,0 +1,73 @@
+package org.godwitwick.node.control
+
+import org.godwitwick.core.model.InstanceId
+import org.godwitwick.core.model.PromptClass
+import org.godwitwick.core.placement.SentWork
+import java.util.concurrent.ConcurrentLinkedQueue
+
+/** Rows about the work that each instance of the data centre sent to replicas since their reports. */
+class SentRows(private val directory: ReplicaDirectory) : PeerRows {
+    private class Dispatch(val replica: InstanceId, val work: SentWork)
+
+    private val unsent = ConcurrentLinkedQueue<Dispatch>()
+    private val intervals = ArrayDeque<SentInterval>()
+    private val takenUpToMs = HashMap<InstanceId, Long>()
+    private var fromMs = 0L
+
+    override val kind: String get() = "sent"
+
+    /** Records a dispatch of this instance; any thread. */
+    fun onDispatch(replica: InstanceId, work: SentWork) {
+        unsent.add(Dispatch(replica, work))
+    }
+
+    override fun encode(nowMs: Long): ByteArray {
+        val taken = generateSequence { unsent.poll() }.toList()
+        val groups = taken.groupBy { it.replica to it.work.promptClass }.entries.toList()
+        intervals.addLast(
+            SentInterval(
+                fromMs,
+                nowMs,
+                groups.map { it.key.first.value },
+                groups.map { it.key.second.ordinal },
+                groups.map { group -> group.value.sumOf { it.work.prefillTokens } },
+                groups.map { group -> group.value.sumOf { it.work.kvTokens } },
+                groups.map { it.value.size },
+            ),
+        )
+        fromMs = nowMs
+        while (intervals.size > MAX_INTERVALS) intervals.removeFirst()
+        return RowCodec.encode(SentRow.serializer(), SentRow(intervals.toList()))
+    }
+
+    override fun accept(from: InstanceId, row: ByteArray, nowMs: Long) {
+        val decoded = RowCodec.decode(SentRow.serializer(), row) ?: return
+        for (interval in decoded.intervals) {
+            if (interval.toMs <= (takenUpToMs[from] ?: Long.MIN_VALUE)) continue
+            takenUpToMs[from] = interval.toMs
+            interval.replicas.indices.forEach { i -> take(interval, i) }
+        }
+    }
+
+    // The end of the interval is the cautious time: the work counts unless the report is newer than all of it.
+    private fun take(interval: SentInterval, i: Int) {
+        val promptClass = PromptClass.entries.getOrNull(interval.classes.getOrNull(i) ?: return) ?: return
+        val tokens = interval.prefillTokens.getOrNull(i) ?: return
+        val work =
+            SentWork(
+                interval.toMs,
+                promptClass,
+                tokens,
+                interval.kvTokens.getOrElse(i) {
+                    0
+                },
+                interval.requests.getOrElse(i) { 1 },
+            )
+        directory.onSentByPeer(InstanceId(interval.replicas[i]), work)
+    }
+
+    private companion object {
+        /** Two seconds of rows every 500 ms: a row that is lost costs nothing, and older work is in a report. */
+        const val MAX_INTERVALS = 4
+    }
+}
