Run model requests through retry, resumption, groups and crash suspicion

FleetGenerateService replaces the rotating first service. Each dispatch has a request id of its own, because a late cancel or message of an earlier attempt on the same engine would otherwise hit the later one. A loss counts as crash evidence only when the engine had the request: a pooled connection may have died with an earlier incarnation before anything was written. Suspicions are guarded by a lock and not by the control thread, so that a busy control thread delays no request. The watcher releases holds past their expiry or whose owner's incarnation is gone; the order issuer folds the stream 'orders'.

--- a/core/src/main/kotlin/org/godwitwick/core/health/SuspicionBook.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/health/SuspicionBook.kt
@@ -62,9 +62,16 @@
     /** Records that the suspect [fingerprint] runs on [engine], or on none; returns the row to push. */
     fun place(fingerprint: Fingerprint, engine: InstanceId?): SuspicionRow = put(own(fingerprint).copy(runsOn = engine))
 
-    /** Whether another suspect with a smaller fingerprint is placed on [engine]; of two placements at once the smaller one stays. */
-    fun losesPlace(fingerprint: Fingerprint, engine: InstanceId): Boolean = rows.any { (other, known) ->
-        other.value < fingerprint.value && known.values.any { it.runsOn == engine }
+    /**
+     * Whether the placement of [fingerprint] on [engine] has to give way: to another suspect on the engine, or to an equal request
+     * that a peer runs. Of two placements at once the smaller fingerprint stays, of equal ones the smaller reporter's.
+     */
+    fun losesPlace(fingerprint: Fingerprint, engine: InstanceId): Boolean {
+        val isEngineTaken = rows.any { (other, known) ->
+            other.value < fingerprint.value && known.values.any { it.runsOn == engine }
+        }
+        val isEqualPlaced = rows[fingerprint].orEmpty().values.any { it.reporter.value < self.value && it.runsOn != null }
+        return isEngineTaken || isEqualPlaced
     }
 
     /** Records the success of [fingerprint]; returns the row to push, or null when nothing was known against it. */
--- a/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
@@ -4,6 +4,7 @@
 import okhttp3.Dispatcher
 import okhttp3.OkHttpClient
 import org.godwitwick.core.model.ClassBounds
+import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.control.ControlThread
 import org.godwitwick.node.http.CallerRoutes
 import org.godwitwick.node.http.StreamingUndertow
@@ -12,8 +13,9 @@
 import org.godwitwick.node.security.KeyRing
 import org.godwitwick.node.settings.KeyFile
 import org.godwitwick.node.settings.NodeSettings
-import org.godwitwick.node.upstream.EngineClient
-import org.godwitwick.node.upstream.FirstReplicaService
+import org.godwitwick.node.upstream.HoldOwner
+import org.godwitwick.node.upstream.UpstreamPath
+import org.godwitwick.node.upstream.rotatingSelector
 import org.http4k.core.Method
 import org.http4k.core.Response
 import org.http4k.core.Status
@@ -28,9 +30,11 @@
     private val control = ControlThread()
     private val client = upstreamClient(settings)
     private val list = ListPoller(HttpInstanceList(client, settings.instanceListUrl), settings.listPollMs)
+    private val owner = HoldOwner(InstanceId(settings.instanceId), System.currentTimeMillis().toString())
+    private val upstream = UpstreamPath(client, list::instances, owner) { rotatingSelector(list::instances, it) }
     private val callers = CallerRoutes(
         keys = KeyRing(keyFile.keys),
-        generate = FirstReplicaService(EngineClient(client), list::instances, System::currentTimeMillis),
+        generate = upstream.generate,
         bounds = { ClassBounds() },
         defaultTimeoutMs = settings.defaultTimeoutMs,
         nowMs = System::currentTimeMillis,
@@ -44,6 +48,7 @@
     /** Starts all parts and serves callers. */
     fun start() {
         list.start()
+        upstream.start()
         server.start()
         log.info("node: instance {} serves callers on port {}", settings.instanceId, httpPort)
     }
@@ -55,6 +60,7 @@
 
     override fun close() {
         server.stop()
+        upstream.close()
         list.close()
         control.close()
         log.info("node: instance {} stopped", settings.instanceId)
--- a/node/src/main/kotlin/org/godwitwick/node/http/CallerRoutes.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/CallerRoutes.kt
@@ -111,9 +111,15 @@
         { failureResponse(it, request.id) },
     )
 
+    // The answer starts with its first event, so that a failure before it is an HTTP answer with its own status.
     private fun streamed(tokens: TokenStream, request: GenerateRequest, format: AnswerFormat): Response {
+        val first = tokens.next()
+        if (first is TokenEvent.Failed) {
+            tokens.close()
+            return failureResponse(first.failure, request.id)
+        }
         val body = SseBody(
-            tokens,
+            StartedStream(first, tokens),
             encodeToken = { Json.encodeToString(format.part(request, it.text)) },
             encodeFailure = { Json.encodeToString(errorAnswer(it, request.id)) },
             onEnd = { },
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/EngineCleanup.kt
@@ -0,0 +1,49 @@
+package org.godwitwick.node.upstream
+
+import com.github.michaelbull.result.Result
+import org.slf4j.LoggerFactory
+import java.util.concurrent.RejectedExecutionException
+import java.util.concurrent.ScheduledThreadPoolExecutor
+import java.util.concurrent.TimeUnit
+
+/**
+ * Cancels work and releases holds in the background. Both may be repeated without harm, so a lost reply is answered by another
+ * attempt; what is left after the last one is the watcher's to release.
+ */
+class EngineCleanup(private val engines: EngineClient, private val counters: UpstreamCounters) : AutoCloseable {
+    private val executor = ScheduledThreadPoolExecutor(THREADS) { Thread(it, "engine-cleanup").apply { isDaemon = true } }
+
+    /** Cancels [requestId] at the engine at [address]. */
+    fun cancel(address: String, requestId: String) = attempt(1) { engines.cancel(address, requestId, TIMEOUT_MS) }
+
+    /** Releases [holdId] at the engine at [address]. */
+    fun release(address: String, holdId: String) = attempt(1) { engines.release(address, holdId, TIMEOUT_MS) }
+
+    private fun attempt(number: Int, action: () -> Result<Unit, EngineFailure>) {
+        val delayMs = if (number == 1) 0 else FIRST_DELAY_MS shl number
+        try {
+            executor.schedule({ run(number, action) }, delayMs, TimeUnit.MILLISECONDS)
+        } catch (_: RejectedExecutionException) {
+            counters.lostCleanups.increment()
+        }
+    }
+
+    private fun run(number: Int, action: () -> Result<Unit, EngineFailure>) {
+        val failure = action().component2() ?: return
+        if (number < MAX_ATTEMPTS) return attempt(number + 1, action)
+        counters.lostCleanups.increment()
+        log.debug("upstream: cleanup given up: {}", failure.message)
+    }
+
+    override fun close() {
+        executor.shutdownNow()
+    }
+
+    private companion object {
+        val log = LoggerFactory.getLogger(EngineCleanup::class.java)
+        const val THREADS = 4
+        const val TIMEOUT_MS = 1_000L
+        const val FIRST_DELAY_MS = 25L
+        const val MAX_ATTEMPTS = 4
+    }
+}
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/EngineMessages.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/EngineMessages.kt
@@ -13,16 +13,59 @@
     val priority: Int,
     @SerialName("resume_tokens") val resumeTokens: List<String> = emptyList(),
     @SerialName("context_holds") val contextHolds: List<String> = emptyList(),
+    @SerialName("hold_id") val holdId: String? = null,
     @SerialName("deadline_at_ms") val deadlineAtMs: Long,
 )
 
-/** One event of an engine's answer stream: a token, or the end, or an error. */
+/** Body of `POST /v1/prefill`: a segment of a prompt that is prefilled into a hold. */
+@Serializable
+data class EnginePrefill(
+    @SerialName("request_id") val requestId: String,
+    @SerialName("hold_id") val holdId: String,
+    val segment: String,
+    val priority: Int,
+    @SerialName("context_holds") val contextHolds: List<String>,
+)
+
+/** One event of an engine's answer stream: a token, the handle of a prefilled segment, the end, or an error. */
 @Serializable
 data class EngineEvent(
     @SerialName("request_id") val requestId: String,
     val index: Int? = null,
     val token: String? = null,
+    val handle: String? = null,
     val done: Boolean = false,
     val tokens: Int? = null,
     val error: String? = null,
 )
+
+/** Body of `POST /v1/cancel`. */
+@Serializable
+data class EngineCancel(@SerialName("request_id") val requestId: String)
+
+/**
+ * KV memory reserved on an engine. The engine never frees it by itself; owner and expiry tell the replica's watcher when to.
+ *
+ * @property holdId chosen by the owner, so that a hold whose reply was lost can be released.
+ */
+@Serializable
+data class EngineHold(
+    @SerialName("hold_id") val holdId: String,
+    @SerialName("request_id") val requestId: String,
+    val owner: String,
+    @SerialName("owner_incarnation") val ownerIncarnation: String,
+    @SerialName("expires_at_ms") val expiresAtMs: Long,
+    val tokens: Int,
+)
+
+/** Answer of `GET /v1/holds`. */
+@Serializable
+data class EngineHoldList(val holds: List<EngineHold>)
+
+/** Body of `POST /v1/orders`. */
+@Serializable
+data class EngineOrderMessage(val slot: String, val target: String, @SerialName("fencing_number") val fencingNumber: Long)
+
+/** Body of an engine's refusal. */
+@Serializable
+data class EngineRefusal(val reason: String = "")
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/OrderIssuer.kt
@@ -0,0 +1,110 @@
+package org.godwitwick.node.upstream
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.serialization.json.Json
+import org.godwitwick.core.error.ErrorKind
+import org.godwitwick.core.error.Failure
+import org.godwitwick.core.error.Ran
+import org.godwitwick.core.model.InstanceId
+import org.godwitwick.core.orders.OrderFold
+import org.godwitwick.core.orders.OrderRecord
+import org.godwitwick.core.orders.OrderSlot
+import org.godwitwick.core.orders.StandingOrder
+import org.godwitwick.node.platform.LogFailure
+import org.godwitwick.node.platform.PlatformLog
+
+/** What became of an order. */
+sealed interface OrderOutcome {
+    /** The order is in force; [isIssued] says whether the engine has taken it already. */
+    data class Won(val order: StandingOrder, val isIssued: Boolean) : OrderOutcome
+
+    /** Another order was first in the log. */
+    data class Lost(val winner: StandingOrder) : OrderOutcome
+}
+
+/**
+ * Places engine orders in the log stream `orders` and issues those in force. Called by one thread at a time; calls block.
+ *
+ * @property addressOf address of an engine, or null when it is not listed.
+ */
+class OrderIssuer(
+    private val log: PlatformLog,
+    private val engines: EngineClient,
+    private val addressOf: (InstanceId) -> String?,
+) {
+    private val fold = OrderFold()
+
+    /** The order in force in [slot], after reading the log to its end. */
+    fun standing(slot: OrderSlot): Result<StandingOrder?, Failure> {
+        readOn()?.let { return Err(it) }
+        return Ok(fold.standing(slot))
+    }
+
+    /** Places [record] and, when it wins, issues it. Fails with `log_unavailable`; then the same record may be placed again. */
+    fun place(record: OrderRecord): Result<OrderOutcome, Failure> {
+        append(record)?.let { return Err(it) }
+        readOn()?.let { return Err(it) }
+        val standing = fold.standing(record.slot)
+            ?: return Err(Failure(ErrorKind.CONFLICT, "the order follows one that is not in force in ${record.slot.name}"))
+        if (standing.record.id != record.id) return Ok(OrderOutcome.Lost(standing))
+        return Ok(OrderOutcome.Won(standing, issue(standing)))
+    }
+
+    /**
+     * Reads the log and issues the orders in force at [engine] once more; returns whether the engine took all. An engine that ignores
+     * fencing numbers may have taken an old order in between, and one that restarted has none.
+     */
+    fun reissue(engine: InstanceId): Result<Boolean, Failure> {
+        readOn()?.let { return Err(it) }
+        return Ok(fold.standingAt(engine).map(::issue).all { it })
+    }
+
+    // The same record is appended again when the answer is lost; the fold ignores the second one.
+    private fun append(record: OrderRecord): Failure? {
+        val data = Json.encodeToString(record).toByteArray()
+        repeat(MAX_APPENDS) {
+            when (val failure = log.append(STREAM, data, LOG_TIMEOUT_MS).component2()) {
+                null -> return null
+                is LogFailure.NotDone -> return unavailable(failure, Ran.NO)
+                is LogFailure.Unknown -> Unit
+            }
+        }
+        return unavailable(LogFailure.Unknown("no answer to $MAX_APPENDS appends"), Ran.UNKNOWN)
+    }
+
+    private fun readOn(): Failure? {
+        while (true) {
+            val read = log.read(STREAM, fold.nextOffset, MAX_RECORDS, 0)
+            val page = read.component1() ?: return unavailable(read.component2()!!, Ran.UNKNOWN)
+            fold.skipTo(page.earliestOffset)
+            page.records.forEach { fold.apply(it.offset, decode(it.data)) }
+            if (fold.nextOffset >= page.endOffset || page.records.isEmpty()) return null
+        }
+    }
+
+    private fun decode(data: ByteArray): OrderRecord? = try {
+        lenientJson.decodeFromString<OrderRecord>(data.decodeToString())
+    } catch (_: IllegalArgumentException) {
+        null
+    }
+
+    private fun issue(order: StandingOrder): Boolean {
+        val address = addressOf(order.record.slot.engine) ?: return false
+        val message = EngineOrderMessage(order.record.slot.name, order.record.target, order.fencingNumber)
+        return engines.order(address, message, ORDER_TIMEOUT_MS).isOk
+    }
+
+    private fun unavailable(failure: LogFailure, ran: Ran) =
+        Failure(ErrorKind.LOG_UNAVAILABLE, "the log of orders is not available: ${failure.message}", ran)
+
+    private companion object {
+        const val STREAM = "orders"
+        const val LOG_TIMEOUT_MS = 2_000L
+        const val ORDER_TIMEOUT_MS = 5_000L
+        const val MAX_APPENDS = 3
+        const val MAX_RECORDS = 500
+        val lenientJson = Json { ignoreUnknownKeys = true }
+    }
+}
