--- /dev/null
+++ b/lab/src/test/kotlin/org/godwitwick/lab/upstream/DeadlineTest.kt
@@ -0,0 +1,73 @@
+package org.godwitwick.lab.upstream
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import org.godwitwick.core.error.ErrorKind
+import org.godwitwick.core.error.Failure
+import org.godwitwick.node.upstream.TokenEvent
+import org.godwitwick.node.upstream.TokenStream
+import org.godwitwick.standins.engine.FakeEngine
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
+
+/** Guards against requests that outlive their deadline (G1). */
+class DeadlineTest {
+    @Test
+    fun `a request on silent engines ends by its deadline`() =
+        endsInTime(ErrorKind.DEADLINE_EXCEEDED, stallMs = 10_000) { fleet ->
+            fleet.engines.forEach { it.faults.isSilent = true }
+        }
+
+    @Test
+    fun `a request on engines that fall silent again and again ends by its deadline`() =
+        endsInTime(ErrorKind.DEADLINE_EXCEEDED, ErrorKind.UPSTREAM_FAILED, stallMs = 150) { fleet ->
+            fleet.engines.forEach { it.faults.isSilent = true }
+        }
+
+    @Test
+    fun `a request on dead engines fails before its deadline`() =
+        endsInTime(ErrorKind.NO_UPSTREAM, ErrorKind.OVERLOADED, stallMs = 500) { fleet -> fleet.engines.forEach { it.die() } }
+
+    @Test
+    fun `a request that all engines refuse fails before its deadline`() =
+        endsInTime(ErrorKind.OVERLOADED, ErrorKind.DEADLINE_EXCEEDED, stallMs = 500) { fleet ->
+            fleet.engines.forEach { it.faults.isOutOfMemory = true }
+        }
+
+    @Test
+    fun `a slow prefill is cut at the deadline and cancelled at the engine`() {
+        EngineFleet(1) { FakeEngine(0, prefillTokensPerSecond = 100.0) }.use { fleet ->
+            val (kind, tookMs) = outcome { fleet.path().generate.start(request("x".repeat(40_000), timeoutMs = 600)) }
+            expectThat(kind).isEqualTo(ErrorKind.DEADLINE_EXCEEDED)
+            expectThat(tookMs).isLessThan(600 + SLACK_MS)
+            fleet.awaitFree()
+        }
+    }
+
+    private fun endsInTime(vararg kinds: ErrorKind, stallMs: Long, fault: (EngineFleet) -> Unit) {
+        EngineFleet(2, stallMs).use { fleet ->
+            val path = fleet.path()
+            fault(fleet)
+            val (kind, tookMs) = outcome { path.generate.start(request("note", timeoutMs = TIMEOUT_MS)) }
+            expectThat(kinds.toList()).contains(kind)
+            expectThat(tookMs).isLessThan(TIMEOUT_MS + SLACK_MS)
+            expectThat(path.generate.running).isEqualTo(0)
+        }
+    }
+
+    private fun outcome(start: () -> Result<TokenStream, Failure>): Pair<ErrorKind, Long> {
+        val startedNs = System.nanoTime()
+        val kind = start().fold({ (it.readAll().second as TokenEvent.Failed).failure.kind }, { it.kind })
+        return kind to (System.nanoTime() - startedNs) / 1_000_000
+    }
+
+    private companion object {
+        const val TIMEOUT_MS = 1_000L
+
+        // Room for the scheduling of a busy machine; without a deadline the requests would take 10 s and more.
+        const val SLACK_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/lab/src/test/kotlin/org/godwitwick/lab/upstream/EngineFleet.kt
@@ -0,0 +1,114 @@
+package org.godwitwick.lab.upstream
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import okhttp3.OkHttpClient
+import org.godwitwick.core.error.Failure
+import org.godwitwick.core.model.ClassBounds
+import org.godwitwick.core.model.Deadline
+import org.godwitwick.core.model.GenerateRequest
+import org.godwitwick.core.model.InstanceId
+import org.godwitwick.core.model.ListedInstance
+import org.godwitwick.core.model.ListedKind
+import org.godwitwick.core.model.OrganisationId
+import org.godwitwick.core.model.RequestId
+import org.godwitwick.node.upstream.HoldOwner
+import org.godwitwick.node.upstream.SuspicionShare
+import org.godwitwick.node.upstream.TokenEvent
+import org.godwitwick.node.upstream.TokenStream
+import org.godwitwick.node.upstream.UpstreamPath
+import org.godwitwick.node.upstream.rotatingSelector
+import org.godwitwick.standins.engine.FakeEngine
+import java.util.UUID
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.LockSupport
+
+/** Engines in this process, and instances' paths to them. */
+class EngineFleet(
+    count: Int,
+    private val stallMs: Long = 2_000,
+    engineOf: (Int) -> FakeEngine = { FakeEngine(0, timeScale = 20.0) },
+) : AutoCloseable {
+    val engines = List(count, engineOf)
+    private val paths = ArrayList<UpstreamPath>()
+
+    val rows = engines.mapIndexed { index, engine -> row(index, engine.address) }
+
+    /** The path of an instance that has polled all engines once. */
+    fun path(name: String = "entry-1", incarnation: String = "1", share: SuspicionShare = SuspicionShare { }): UpstreamPath {
+        val path = UpstreamPath(client(stallMs), { rows }, HoldOwner(InstanceId(name), incarnation), share) {
+            rotatingSelector({ rows }, it)
+        }
+        paths += path
+        path.watcher.poll()
+        return path
+    }
+
+    /** Engines on which something runs. */
+    fun busy(): List<FakeEngine> = engines.filter { it.running > 0 }
+
+    /** Fails unless every engine that lives has no holds and no used memory within 10 s. */
+    fun awaitFree() = await("all engines free") { engines.all { it.holds.isEmpty() && it.kvUsedTokens == 0 } }
+
+    override fun close() {
+        paths.forEach { it.close() }
+        engines.forEach { it.close() }
+    }
+
+    private fun row(index: Int, address: String) = ListedInstance(
+        id = InstanceId("engine-$index"),
+        kind = ListedKind.ENGINE,
+        name = "menu",
+        address = address,
+        region = "tn-north",
+        dataCentre = "tn-north-a",
+        rack = "rack-$index",
+    )
+}
+
+fun client(stallMs: Long): OkHttpClient = OkHttpClient.Builder()
+    .retryOnConnectionFailure(false)
+    .connectTimeout(stallMs, TimeUnit.MILLISECONDS)
+    .readTimeout(stallMs, TimeUnit.MILLISECONDS)
+    .build()
+
+fun request(
+    prompt: String,
+    maxTokens: Int = 40,
+    timeoutMs: Long = 20_000,
+    id: String = UUID.randomUUID().toString(),
+    organisation: String = "caterer",
+) = GenerateRequest(
+    RequestId(id),
+    OrganisationId(organisation),
+    "menu",
+    prompt,
+    maxTokens,
+    ClassBounds().classOf(GenerateRequest.estimateTokens(prompt)),
+    Deadline(System.currentTimeMillis() + timeoutMs),
+)
+
+fun Result<TokenStream, Failure>.orFail(): TokenStream = getOrElse { error("not started: $it") }
+
+/** Reads [count] tokens; fails on any other event. */
+fun TokenStream.take(count: Int): List<String> = List(count) { (next() as TokenEvent.Token).text }
+
+/** Reads to the end: all texts and the last event. */
+fun TokenStream.readAll(): Pair<List<String>, TokenEvent> = use {
+    val texts = ArrayList<String>()
+    var event = next()
+    while (event is TokenEvent.Token) {
+        texts += event.text
+        event = next()
+    }
+    texts to event
+}
+
+/** Waits until [condition] holds, at most 10 s. */
+fun await(what: String, condition: () -> Boolean) {
+    val end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10)
+    while (!condition()) {
+        check(System.nanoTime() < end) { "not reached within 10 s: $what" }
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(2))
+    }
+}
--- a/standins/src/main/kotlin/org/godwitwick/standins/engine/EngineProcess.kt
+++ b/standins/src/main/kotlin/org/godwitwick/standins/engine/EngineProcess.kt
@@ -181,7 +181,7 @@
                 object : EngineOutput {
                     override fun onToken(index: Int, token: String) = Unit
 
-                    override fun onDone(total: Int) = finish(id, output, """{"request_id":"$id","handle":"$handle"}""")
+                    override fun onDone(total: Int) = finish(output, """{"request_id":"$id","handle":"$handle"}""")
                 },
             )
             scheduler.submit(work, modelMs())
@@ -191,8 +191,10 @@
     private fun admitted(work: EngineWork) {
         dispatches.incrementAndGet()
         if (faults.crossing != Crossing.SWAP) return
-        val other = scheduler.works.firstOrNull { it !== work && it.maxTokens > 0 } ?: return
-        work.output = other.output.also { other.output = work.output }
+        val own = work.output as GenerateOutput
+        val other =
+            scheduler.works.firstNotNullOfOrNull { other -> (other.output as? GenerateOutput)?.takeIf { it !== own } } ?: return
+        own.stream = other.stream.also { other.stream = own.stream }
     }
 
     private fun startStream(exchange: HttpServerExchange, id: String, submit: (StreamOutput) -> Refusal?) {
@@ -219,10 +221,10 @@
         )
     }
 
-    private fun finish(id: String, output: StreamOutput, data: String) {
+    private fun finish(output: StreamOutput, data: String) {
         if (faults.isSilent) output.isFrozen = true
         output.finish("data:$data\n\n")
-        if (!output.isFrozen) streams.remove(id)
+        if (!output.isFrozen) streams.values.remove(output)
     }
 
     private fun abandon(id: String) {
@@ -230,15 +232,15 @@
         streams.remove(id)?.abort()
     }
 
-    private inner class GenerateOutput(private val id: String, private val output: StreamOutput) : EngineOutput {
+    private inner class GenerateOutput(private val id: String, var stream: StreamOutput) : EngineOutput {
         override fun onToken(index: Int, token: String) {
             if (faults.isSilent) return
             val shownId = if (faults.crossing == Crossing.ID) "other-request" else id
             val shownIndex = if (faults.crossing == Crossing.INDEX) index + 1 else index
-            output.send("data:{\"request_id\":\"$shownId\",\"index\":$shownIndex,\"token\":\"$token\"}\n\n")
+            stream.send("data:{\"request_id\":\"$shownId\",\"index\":$shownIndex,\"token\":\"$token\"}\n\n")
         }
 
-        override fun onDone(total: Int) = finish(id, output, "{\"request_id\":\"$id\",\"done\":true,\"tokens\":$total}")
+        override fun onDone(total: Int) = finish(stream, "{\"request_id\":\"$id\",\"done\":true,\"tokens\":$total}")
     }
 
     private fun cancel(exchange: HttpServerExchange) {
--- a/standins/src/main/kotlin/org/godwitwick/standins/engine/EngineScheduler.kt
+++ b/standins/src/main/kotlin/org/godwitwick/standins/engine/EngineScheduler.kt
@@ -26,7 +26,7 @@
     val firstIndex: Int = 0,
     val contextHash: Int = 0,
     val hold: EngineHold? = null,
-    var output: EngineOutput,
+    val output: EngineOutput,
 ) {
     internal val promptHash = continueHash(contextHash, prompt)
     internal val hashes = if (contextHash == 0 && hold == null) prefixHashes(prompt) else emptyList()
