Wait for peers' rows before a lone suspect is quarantined; always chunk streamed answers

Two faults found by the new tests. - A request that was the only one of its own instance on a dead engine was quarantined before the other instance's row about the same death arrived, and so an innocent request was refused. The verdict now settles for one second; meanwhile the request waits. - With 'Connection: close' Undertow marked the end of a body by closing the connection, so an aborted answer looked like a whole one to a client that doesn't check for [DONE]. Event streams over HTTP/1.1 are now always chunked.

--- a/core/src/main/kotlin/org/godwitwick/core/health/SuspicionBook.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/health/SuspicionBook.kt
@@ -9,6 +9,9 @@
     /** In flight on one engine that died. */
     SUSPECT,
 
+    /** In flight on one engine that died a moment ago, alone as far as is known: peers may still tell of others on it. */
+    UNSETTLED,
+
     /** In flight on two engines that died, or the only request on one. */
     QUARANTINED,
 }
@@ -50,8 +53,9 @@
         return when {
             counted.isEmpty() -> SuspicionVerdict.CLEAR
             counted.size >= DEATHS_TO_QUARANTINE -> SuspicionVerdict.QUARANTINED
-            counted.any { keyOf(it) in aloneOn && !isShared(it) } -> SuspicionVerdict.QUARANTINED
-            else -> SuspicionVerdict.SUSPECT
+            counted.none { keyOf(it) in aloneOn && !isShared(it) } -> SuspicionVerdict.SUSPECT
+            nowMs - counted.single().atMs < SETTLE_MS -> SuspicionVerdict.UNSETTLED
+            else -> SuspicionVerdict.QUARANTINED
         }
     }
 
@@ -151,6 +155,12 @@
 
         /** Engines whose death within [CORRELATION_MS] is a loss that no request caused. */
         const val CORRELATED_ENGINES = 3
+
+        /**
+         * Time in which the rows of peers about the same death arrive: their probe of the engine takes up to 500 ms. Without the wait
+         * the only request of one instance on an engine would be taken for the only one of all instances.
+         */
+        const val SETTLE_MS = 1_000L
         private const val DEATHS_TO_QUARANTINE = 2
     }
 }
--- a/core/src/main/kotlin/org/godwitwick/core/health/SuspicionRow.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/health/SuspicionRow.kt
@@ -11,7 +11,7 @@
  * @property deaths engine deaths that the request was in flight for at the reporter.
  * @property aloneOn engines and incarnations of [deaths] that ran nothing else as far as the reporter knew.
  * @property runsOn engine on which the reporter runs the request now, or null.
- * @property clearedAtMs time of the last success, 0 for none; deaths up to then don't count.
+ * @property clearedAtMs time of the last success, -1 for none; deaths up to then don't count.
  */
 @Serializable
 data class SuspicionRow(
@@ -21,5 +21,5 @@
     val deaths: List<EngineDeath> = emptyList(),
     val aloneOn: List<String> = emptyList(),
     val runsOn: InstanceId? = null,
-    val clearedAtMs: Long = 0,
+    val clearedAtMs: Long = -1,
 )
--- /dev/null
+++ b/core/src/test/kotlin/org/godwitwick/core/health/LeavingSpreadTest.kt
@@ -0,0 +1,100 @@
+package org.godwitwick.core.health
+
+import org.godwitwick.core.model.InstanceId
+import org.godwitwick.core.model.ListedInstance
+import org.godwitwick.core.model.ListedKind
+import org.godwitwick.core.model.ListedState
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
+import strikt.assertions.isTrue
+import kotlin.random.Random
+
+/** Guards against work that is still sent to a leaving engine (G6). */
+class LeavingSpreadTest {
+    private val engine = InstanceId("engine-0")
+
+    @Test
+    fun `a mark survives a late report of the same incarnation and ends with the next one`() {
+        val marks = LeavingMarks()
+        marks.onLoad(engine, report("1", leaving = true))
+        marks.onLoad(engine, report("1", leaving = false))
+        expectThat(marks.isLeaving(engine)).isTrue()
+        marks.onLoad(engine, report("2", leaving = false))
+        expectThat(marks.isLeaving(engine)).isFalse()
+    }
+
+    @Test
+    fun `in 200 runs no instance sends work more than 3 s after the list or the report shows the engine as leaving`() {
+        val delaysMs = (1..200).map { Run(Random(it)).lastDispatchDelayMs() }
+        println(
+            "FIGURE leaving engine, 200 simulated runs: largest delay ${delaysMs.max()} ms, mean ${delaysMs.average().toInt()} ms",
+        )
+        expectThat(delaysMs.count { it > 0 } > 100).isTrue()
+        expectThat(delaysMs.max()).isLessThan(3_000)
+    }
+
+    /**
+     * Fourteen instances of a data centre: one polls the engine's load every second, all read the list every 500 ms and exchange rows
+     * with three random peers every 500 ms. Each would send work to the engine every 10 ms.
+     */
+    private inner class Run(private val random: Random) {
+        private val instances = List(INSTANCES) { LeavingMarks() }
+        private val newest = arrayOfNulls<LoadReport>(INSTANCES)
+        private val phaseMs = List(INSTANCES) { random.nextLong(500) }
+        private val leavingAtMs = 5_000 + random.nextLong(1_000)
+        private val reportLagMs = random.nextLong(500)
+        private val listLagMs = random.nextLong(10_000)
+
+        fun lastDispatchDelayMs(): Long {
+            val shownAtMs = leavingAtMs + minOf(reportLagMs, listLagMs)
+            var lastMs = 0L
+            for (nowMs in 0L..20_000L step 10) {
+                instances.indices.forEach { act(it, nowMs) }
+                if (instances.any { !it.isLeaving(engine) }) lastMs = nowMs
+            }
+            return (lastMs - shownAtMs).coerceAtLeast(0)
+        }
+
+        private fun act(instance: Int, nowMs: Long) {
+            if ((nowMs + phaseMs[instance]) / 500 == (nowMs - 10 + phaseMs[instance]) / 500) return
+            instances[instance].onList(listOf(row(nowMs >= leavingAtMs + listLagMs)))
+            val isPollTurn = (nowMs + phaseMs[instance]) / 500 % 2 == 0L
+            if (instance == 0 && isPollTurn) take(0, report("1", nowMs >= leavingAtMs + reportLagMs))
+            repeat(3) { newest[instance]?.let { report -> take(random.nextInt(INSTANCES), report) } }
+        }
+
+        // A peer keeps the report that shows more; rows are versioned by their watcher.
+        private fun take(instance: Int, report: LoadReport) {
+            if (newest[instance]?.leaving != true) newest[instance] = report
+            instances[instance].onLoad(engine, report)
+        }
+    }
+
+    private fun report(incarnation: String, leaving: Boolean) = LoadReport(incarnation, kvCapacityTokens = 1, leaving = leaving)
+
+    private fun row(isLeaving: Boolean) = ListedInstance(
+        id = engine,
+        kind = ListedKind.ENGINE,
+        address = "",
+        region = "",
+        dataCentre = "",
+        state = if (isLeaving) ListedState.LEAVING else ListedState.LIVE,
+    )
+
+    @Test
+    fun `an engine is dead after a changed incarnation or two failed polls`() {
+        val (known, _) = ReplicaPulse().onReport("1")
+        expectThat(known.onReport("2").second).isEqualTo(PulseChange.DIED)
+        val (once, first) = known.onFailure()
+        expectThat(first).isEqualTo(PulseChange.NONE)
+        expectThat(once.onFailure().second).isEqualTo(PulseChange.DIED)
+        expectThat(once.onReport("1").second).isEqualTo(PulseChange.NONE)
+    }
+
+    private companion object {
+        const val INSTANCES = 14
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/godwitwick/core/health/SuspicionBookTest.kt
@@ -0,0 +1,109 @@
+package org.godwitwick.core.health
+
+import org.godwitwick.core.model.InstanceId
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNotEmpty
+import strikt.assertions.isTrue
+
+/** Guards against a request that keeps killing engines, and against refusing requests that did no harm (section 5.7). */
+class SuspicionBookTest {
+    private val a = SuspicionBook(InstanceId("a"))
+    private val b = SuspicionBook(InstanceId("b"))
+    private val poison = Fingerprint("poison")
+    private val innocent = Fingerprint("innocent")
+
+    @Test
+    fun `a request on one dead engine with others is a suspect, on two it is quarantined`() {
+        a.onDeath(death("e1", 0), setOf(poison, innocent), isAlone = false, nowMs = 0)
+        expectThat(a.verdict(poison, 0)).isEqualTo(SuspicionVerdict.SUSPECT)
+        a.onDeath(death("e2", 60_000), setOf(poison), isAlone = false, nowMs = 60_000)
+        expectThat(a.verdict(poison, 60_000)).isEqualTo(SuspicionVerdict.QUARANTINED)
+        expectThat(a.verdict(innocent, 60_000)).isEqualTo(SuspicionVerdict.SUSPECT)
+    }
+
+    @Test
+    fun `one death seen by several requests or instances counts once`() {
+        val rows = a.onDeath(death("e1", 0), setOf(poison), isAlone = false, nowMs = 0)
+        b.onDeath(death("e1", 40), setOf(poison), isAlone = false, nowMs = 40)
+        rows.forEach(b::merge)
+        expectThat(b.verdict(poison, 50)).isEqualTo(SuspicionVerdict.SUSPECT)
+    }
+
+    @Test
+    fun `a request that was alone is quarantined after a second unless a peer ran another one there`() {
+        a.onDeath(death("e1", 0), setOf(poison), isAlone = true, nowMs = 0)
+        expectThat(a.verdict(poison, 0)).isEqualTo(SuspicionVerdict.UNSETTLED)
+        expectThat(a.verdict(poison, SuspicionBook.SETTLE_MS)).isEqualTo(SuspicionVerdict.QUARANTINED)
+        b.onDeath(death("e1", 0), setOf(innocent), isAlone = true, nowMs = 0).forEach(a::merge)
+        expectThat(a.verdict(poison, 0)).isEqualTo(SuspicionVerdict.SUSPECT)
+    }
+
+    @Test
+    fun `deaths seen by two instances quarantine on both`() {
+        a.onDeath(death("e1", 0), setOf(poison), isAlone = false, nowMs = 0).forEach(b::merge)
+        b.onDeath(death("e2", 20_000), setOf(poison), isAlone = false, nowMs = 20_000).forEach(a::merge)
+        expectThat(a.verdict(poison, 20_000)).isEqualTo(SuspicionVerdict.QUARANTINED)
+        expectThat(b.verdict(poison, 20_000)).isEqualTo(SuspicionVerdict.QUARANTINED)
+    }
+
+    @Test
+    fun `success clears on all instances and an older row does not bring the suspicion back`() {
+        val old = a.onDeath(death("e1", 0), setOf(innocent), isAlone = false, nowMs = 0)
+        old.forEach(b::merge)
+        b.merge(a.onSuccess(innocent, 100)!!)
+        old.forEach(b::merge)
+        expectThat(b.verdict(innocent, 200)).isEqualTo(SuspicionVerdict.CLEAR)
+    }
+
+    @Test
+    fun `the loss of a rack brands none and withdraws what was pushed before`() {
+        a.onDeath(death("e1", 0, "r1"), setOf(innocent), isAlone = true, nowMs = 0).forEach(b::merge)
+        a.onDeath(death("e2", 4_000, "r1"), setOf(innocent), isAlone = false, nowMs = 4_000).forEach(b::merge)
+        expectThat(b.verdict(innocent, 4_000)).isEqualTo(SuspicionVerdict.QUARANTINED)
+        val second = a.onOtherDeath(death("e3", 9_000, "r1"))
+        expectThat(second).isNotEmpty()
+        expectThat(second.single().deaths).isEmpty()
+        second.forEach(b::merge)
+        expectThat(listOf(a, b).map { it.verdict(innocent, 9_000) }.toSet()).isEqualTo(setOf(SuspicionVerdict.CLEAR))
+    }
+
+    @Test
+    fun `three deaths over more than ten seconds are no correlated loss`() {
+        a.onDeath(death("e1", 0, "r1"), setOf(poison), isAlone = false, nowMs = 0)
+        a.onDeath(death("e2", 6_000, "r1"), setOf(poison), isAlone = false, nowMs = 6_000)
+        a.onOtherDeath(death("e3", 10_001, "r1"))
+        expectThat(a.verdict(poison, 10_001)).isEqualTo(SuspicionVerdict.QUARANTINED)
+    }
+
+    @Test
+    fun `a suspicion ends after ten minutes`() {
+        a.onDeath(death("e1", 0), setOf(poison), isAlone = true, nowMs = 0)
+        expectThat(a.verdict(poison, SuspicionBook.SUSPICION_MS)).isEqualTo(SuspicionVerdict.QUARANTINED)
+        expectThat(a.verdict(poison, SuspicionBook.SUSPICION_MS + 1)).isEqualTo(SuspicionVerdict.CLEAR)
+    }
+
+    @Test
+    fun `of two suspects placed on one engine at once exactly one stays`() {
+        val rowOfA = a.place(poison, InstanceId("e3"))
+        val rowOfB = b.place(innocent, InstanceId("e3"))
+        a.merge(rowOfB)
+        b.merge(rowOfA)
+        expectThat(a.losesPlace(poison, InstanceId("e3"))).isTrue()
+        expectThat(b.losesPlace(innocent, InstanceId("e3"))).isFalse()
+    }
+
+    @Test
+    fun `retries are limited to a tenth of the recent requests plus three`() {
+        val budget = RetryBudget()
+        repeat(50) { budget.onRequest(nowMs = 1_000) }
+        expectThat((1..20).count { budget.tryTake(1_000) }).isEqualTo(8)
+        expectThat((1..20).count { budget.tryTake(12_000) }).isEqualTo(3)
+    }
+
+    private fun death(engine: String, atMs: Long, rack: String = "rack of $engine") =
+        EngineDeath(InstanceId(engine), "1", "dc", rack, atMs)
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/godwitwick/core/orders/OrderFoldTest.kt
@@ -0,0 +1,40 @@
+package org.godwitwick.core.orders
+
+import org.godwitwick.core.model.InstanceId
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+/** Guards against readers of the stream that disagree about the order in force (section 5.9). */
+class OrderFoldTest {
+    private val slot = OrderSlot(InstanceId("e1"), OrderKind.LOAD_MODEL, "menu")
+    private val fold = OrderFold()
+
+    @Test
+    fun `the first record wins and a later one must name it`() {
+        fold.apply(0, OrderRecord("a", slot, "v1"))
+        fold.apply(1, OrderRecord("b", slot, "v2"))
+        expectThat(fold.standing(slot)?.record?.id).isEqualTo("a")
+        fold.apply(2, OrderRecord("c", slot, "v3", replaces = 0))
+        fold.apply(3, OrderRecord("d", slot, "v4", replaces = 0))
+        expectThat(fold.standing(slot)).isEqualTo(StandingOrder(2, OrderRecord("c", slot, "v3", replaces = 0)))
+    }
+
+    @Test
+    fun `a repeated append and a record that is not understood change nothing`() {
+        fold.apply(0, OrderRecord("a", slot, "v1"))
+        fold.apply(1, OrderRecord("a", slot, "v1"))
+        fold.apply(2, null)
+        fold.apply(0, OrderRecord("x", slot, "v0"))
+        expectThat(fold.standing(slot)?.fencingNumber).isEqualTo(0)
+        expectThat(fold.nextOffset).isEqualTo(3)
+    }
+
+    @Test
+    fun `orders for different slots do not touch each other`() {
+        val other = slot.copy(subject = "directory")
+        fold.apply(0, OrderRecord("a", slot, "v1"))
+        fold.apply(1, OrderRecord("b", other, "v1"))
+        expectThat(fold.standingAt(slot.engine).map { it.record.id }).isEqualTo(listOf("a", "b"))
+    }
+}
--- /dev/null
+++ b/lab/src/test/kotlin/org/godwitwick/lab/upstream/CallerWireTest.kt
@@ -0,0 +1,145 @@
+package org.godwitwick.lab.upstream
+
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import org.godwitwick.node.control.ControlThread
+import org.godwitwick.node.entry.EntryNode
+import org.godwitwick.node.security.KeyEntry
+import org.godwitwick.node.security.sha256Hex
+import org.godwitwick.node.settings.KeyFile
+import org.godwitwick.node.settings.NodeSettings
+import org.godwitwick.standins.engine.FakeEngine
+import org.godwitwick.standins.list.FakeInstanceList
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.endsWith
+import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
+import strikt.assertions.startsWith
+import java.io.IOException
+import java.net.Socket
+import java.util.concurrent.CountDownLatch
+
+/** Checks the bytes that a caller receives, over a plain socket. */
+class CallerWireTest {
+    /** Guards against an answer cut short that a client takes for a whole one. */
+    @Test
+    fun `an answer that fails midway has an error event and no last chunk`() = withNode { port, engine ->
+        val answer = caller(port, maxTokens = 500, headers = "Connection: close\r\n").use { socket ->
+            socket.readUntil("t3.") + run {
+                engine.die()
+                socket.readAll()
+            }
+        }
+        expectThat(
+            answer,
+        ).contains("event: error").contains("\"ran\":\"unknown\"")
+        expectThat("[DONE]" in answer).isFalse()
+        expectThat("\r\n0\r\n" in answer).isFalse()
+    }
+
+    /** Guards against the check above passing for every answer. */
+    @Test
+    fun `a whole answer has its end mark and the last chunk`() = withNode { port, _ ->
+        val answer = caller(port, maxTokens = 5, headers = "Connection: close\r\n").use { it.readAll() }
+        expectThat(answer).contains("data: [DONE]").endsWith("\r\n0\r\n\r\n")
+    }
+
+    /** Guards against an error that is hidden in a stream with status 200. */
+    @Test
+    fun `a request that fails before its first token gets an HTTP error`() = withNode { port, engine ->
+        engine.faults.isOutOfMemory = true
+        val answer = caller(port, maxTokens = 5, headers = "Connection: close\r\n").use { it.readAll() }
+        expectThat(answer).startsWith("HTTP/1.1 503").contains("\"ran\":\"no\"")
+    }
+
+    /** Guards against engines that go on generating for a caller that has left. */
+    @Test
+    fun `a caller that disconnects ends its request at the engine`() = withNode { port, engine ->
+        caller(port, maxTokens = 60_000).use { it.readUntil("t3.") }
+        await("the engine is free") { engine.running == 0 && engine.kvUsedTokens == 0 }
+    }
+
+    /** Guards against deadlines that depend on the control thread (G1). */
+    @Test
+    fun `a request ends by its deadline while the control thread is blocked and the engine is silent`() = withNode {
+            port,
+            engine,
+        ->
+        val release = CountDownLatch(1)
+        val field = EntryNode::class.java.getDeclaredField("control").apply { isAccessible = true }
+        (field.get(node) as ControlThread).post { release.await() }
+        engine.faults.isSilent = true
+        val startedNs = System.nanoTime()
+        val headers = "Request-Timeout-Ms: 700\r\nConnection: close\r\n"
+        val answer = caller(port, maxTokens = 5, headers = headers).use { it.readAll() }
+        val tookMs = (System.nanoTime() - startedNs) / 1_000_000
+        release.countDown()
+        expectThat(answer).startsWith("HTTP/1.1 504")
+        expectThat(tookMs).isLessThan(1_700)
+    }
+
+    private lateinit var node: EntryNode
+
+    private fun withNode(action: (Int, FakeEngine) -> Unit) {
+        FakeEngine(0, timeScale = 5.0).use { engine ->
+            FakeInstanceList(0).use { list ->
+                list.set(listOf(engineRow(engine.address)))
+                EntryNode(settings(list.address), KeyFile(listOf(KeyEntry(sha256Hex("test-key"), "caterer")))).use {
+                    node = it
+                    it.start()
+                    action(it.httpPort, engine)
+                }
+            }
+        }
+    }
+
+    private fun caller(port: Int, maxTokens: Int, headers: String = ""): Socket {
+        val body = """{"model":"menu","prompt":"a note","max_tokens":$maxTokens,"stream":true}"""
+        return Socket("127.0.0.1", port).apply {
+            soTimeout = 10_000
+            val head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer test-key\r\n$headers"
+            getOutputStream().write("${head}Content-Length: ${body.length}\r\n\r\n$body".toByteArray())
+        }
+    }
+
+    private fun Socket.readUntil(text: String): String {
+        val seen = StringBuilder()
+        while (text !in
+            seen
+        ) {
+            seen.append(getInputStream().read().also { check(it >= 0) { "ended before $text: $seen" } }.toChar())
+        }
+        return seen.toString()
+    }
+
+    private fun Socket.readAll(): String {
+        val seen = StringBuilder()
+        try {
+            while (true) seen.append(getInputStream().read().takeIf { it >= 0 }?.toChar() ?: break)
+        } catch (_: IOException) {
+            // A reset ends the answer as a close does.
+        }
+        return seen.toString()
+    }
+
+    private fun engineRow(address: String) = buildJsonObject {
+        put("id", "engine-1")
+        put("kind", "engine")
+        put("name", "menu")
+        put("address", address)
+        put("region", "tn-north")
+        put("data_centre", "tn-north-a")
+    }
+
+    private fun settings(listAddress: String) = NodeSettings(
+        instanceId = "entry-1",
+        region = "tn-north",
+        dataCentre = "tn-north-a",
+        httpPort = 0,
+        keysFile = "keys.json",
+        logUrl = "http://127.0.0.1:1",
+        instanceListUrl = "http://$listAddress",
+    )
+}
--- a/lab/src/test/kotlin/org/godwitwick/lab/upstream/CrashSuspicionTest.kt
+++ b/lab/src/test/kotlin/org/godwitwick/lab/upstream/CrashSuspicionTest.kt
@@ -35,7 +35,7 @@
             expectThat(fleet.engines.sumOf { it.deaths }).isLessThanOrEqualTo(2)
             expectThat(kinds.toSet()).isEqualTo(setOf(ErrorKind.REQUEST_QUARANTINED))
             innocents.forEach { (number, answer) ->
-                expectThat(answer.get().first).isEqualTo(expectedTokens("innocent $number", 40))
+                expectThat(answer.get()).isEqualTo(expectedTokens("innocent $number", 40) to null)
             }
             println("FIGURE engines dead of a crashing request sent 6 times: ${fleet.engines.sumOf { it.deaths }}")
         }
--- /dev/null
+++ b/lab/src/test/kotlin/org/godwitwick/lab/upstream/EngineConnectionTest.kt
@@ -0,0 +1,107 @@
+package org.godwitwick.lab.upstream
+
+import com.github.michaelbull.result.getOrElse
+import org.godwitwick.node.upstream.EngineClient
+import org.godwitwick.node.upstream.EngineFailure
+import org.godwitwick.node.upstream.EngineGenerate
+import org.godwitwick.node.upstream.EngineStreamEvent
+import org.godwitwick.node.upstream.UpstreamCounters
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+
+/** Guards against an answer that reaches another request through a connection (G3), with an engine of raw bytes. */
+class EngineConnectionTest {
+    private val counters = UpstreamCounters()
+
+    @Test
+    fun `a connection with an abandoned answer carries no other request`() = withEngine { address, connections ->
+        val engines = EngineClient(client(1_000), counters)
+        engines.open(address, "slow").use { it.next() }
+        val event = engines.open(address, "next").use { it.next() }
+        expectThat(event).isEqualTo(EngineStreamEvent.Token(0, "of next"))
+        expectThat(connections.size).isEqualTo(2)
+    }
+
+    @Test
+    fun `a connection whose answer was read whole carries the next request`() = withEngine { address, connections ->
+        val engines = EngineClient(client(1_000), counters)
+        repeat(2) { number ->
+            engines.open(address, "whole$number").use { stream ->
+                expectThat(stream.next()).isEqualTo(EngineStreamEvent.Token(0, "of whole$number"))
+                expectThat(stream.next()).isEqualTo(EngineStreamEvent.Done(1))
+            }
+        }
+        expectThat(connections.size).isEqualTo(1)
+    }
+
+    @Test
+    fun `a late answer that follows a whole one on its connection reaches nobody`() = withEngine { address, _ ->
+        val engines = EngineClient(client(1_000), counters)
+        engines.open(address, "late").use { stream -> repeat(2) { stream.next() } }
+        val result = engines.generate(address, message("next"), 1_000)
+        val event = result.component1()?.use { it.next() }
+        if (event is EngineStreamEvent.Failed) {
+            expectThat(event.failure).isA<EngineFailure.Misbehaved>()
+            expectThat(counters.wrongRequestIds.sum()).isGreaterThan(0)
+        } else if (event != null) {
+            expectThat(event).isEqualTo(EngineStreamEvent.Token(0, "of next"))
+        }
+    }
+
+    private fun EngineClient.open(address: String, id: String) = generate(address, message(id), 1_000).getOrElse { error("$it") }
+
+    private fun message(id: String) = EngineGenerate(id, "menu", "note", 1, 0, deadlineAtMs = 0)
+
+    private fun withEngine(action: (String, List<Socket>) -> Unit) {
+        val connections = CopyOnWriteArrayList<Socket>()
+        ServerSocket(0).use { server ->
+            val acceptor = Thread {
+                runCatching {
+                    while (true) {
+                        server.accept().also {
+                            connections += it
+                        }.let { socket -> Thread { runCatching { serve(socket) } }.start() }
+                    }
+                }
+            }
+            acceptor.start()
+            action("127.0.0.1:${server.localPort}", connections)
+        }
+        connections.forEach { it.close() }
+    }
+
+    private fun serve(socket: Socket) {
+        val input = socket.getInputStream().bufferedReader()
+        while (true) {
+            var length = 0
+            var line = input.readLine() ?: return
+            while (line.isNotEmpty()) {
+                if (line.startsWith("Content-Length: ")) length = line.substringAfter(": ").toInt()
+                line = input.readLine()
+            }
+            val body = CharArray(length).also { input.read(it) }.concatToString()
+            answer(socket, body.substringAfter("\"request_id\":\"").substringBefore('"'))
+        }
+    }
+
+    private fun answer(socket: Socket, id: String) {
+        val head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        val token = chunk("""{"request_id":"$id","index":0,"token":"of $id"}""")
+        val done = chunk("""{"request_id":"$id","done":true,"tokens":1}""") + "0\r\n\r\n"
+        val late = chunk("""{"request_id":"another","index":0,"token":"of another"}""")
+        val text = when (id) {
+            "slow" -> head + token
+            "late" -> head + token + done + head + late + done
+            else -> head + token + done
+        }
+        socket.getOutputStream().write(text.toByteArray())
+    }
+
+    private fun chunk(json: String): String = "data:$json\n\n".let { "${it.length.toString(16)}\r\n$it\r\n" }
+}
--- a/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
@@ -4,6 +4,7 @@
 import io.undertow.UndertowOptions
 import io.undertow.server.HttpServerExchange
 import io.undertow.server.handlers.BlockingHandler
+import io.undertow.util.Headers
 import io.undertow.util.HttpString
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method
@@ -77,6 +78,10 @@
             exchange.statusCode = response.status.code
             response.headers.groupBy({ it.first }, { it.second ?: "" })
                 .forEach { (name, values) -> exchange.responseHeaders.putAll(HttpString(name), values) }
+            if (exchange.isHttp11 && response.header("Content-Type") == EVENT_STREAM) {
+                // With "Connection: close" Undertow would mark the end of the body by closing the connection, as an abort does.
+                exchange.responseHeaders.put(Headers.TRANSFER_ENCODING, "chunked")
+            }
             response.body.stream.use { body -> copyOrAbort(exchange, body) }
         }
 
@@ -104,6 +109,7 @@
     }
 
     private companion object {
+        const val EVENT_STREAM = "text/event-stream"
         const val COPY_BUFFER_BYTES = 16 * 1024
         val log = LoggerFactory.getLogger(StreamingUndertow::class.java)
     }
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/RequestRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/RequestRun.kt
@@ -111,6 +111,10 @@
         }
         val verdict = parts.guard.verdict(fingerprint, parts.nowMs())
         if (verdict == SuspicionVerdict.QUARANTINED) return refuseQuarantined()
+        if (verdict == SuspicionVerdict.UNSETTLED) {
+            cancelSignal.await(SETTLE_POLL_MS, TimeUnit.MILLISECONDS)
+            return null
+        }
         val isSuspect = verdict == SuspicionVerdict.SUSPECT
         wasSuspect = wasSuspect || isSuspect
         return when (val opening = dispatcher.open(dispatches, excluded, isSuspect, sent)) {
@@ -238,6 +242,7 @@
     private companion object {
         const val UNKNOWN_INCARNATION = "unknown"
         const val PROBE_MS = 500L
+        const val SETTLE_POLL_MS = 20L
 
         // A request that many engines refused or failed is not worth another dispatch.
         const val MAX_FAILURES = 16
