--- a/core/src/main/kotlin/org/godwitwick/core/health/SuspicionBook.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/health/SuspicionBook.kt
@@ -9,6 +9,9 @@
     /** In flight on one engine that died. */
     SUSPECT,
 
+    /** In flight on one engine that died a moment ago, alone as far as is known: peers may still tell of others on it. */
+    UNSETTLED,
+
     /** In flight on two engines that died, or the only request on one. */
     QUARANTINED,
 }
@@ -50,8 +53,9 @@
         return when {
             counted.isEmpty() -> SuspicionVerdict.CLEAR
             counted.size >= DEATHS_TO_QUARANTINE -> SuspicionVerdict.QUARANTINED
-            counted.any { keyOf(it) in aloneOn && !isShared(it) } -> SuspicionVerdict.QUARANTINED
-            else -> SuspicionVerdict.SUSPECT
+            counted.none { keyOf(it) in aloneOn && !isShared(it) } -> SuspicionVerdict.SUSPECT
+            nowMs - counted.single().atMs < SETTLE_MS -> SuspicionVerdict.UNSETTLED
+            else -> SuspicionVerdict.QUARANTINED
         }
     }
 
@@ -62,9 +66,16 @@
     /** Records that the suspect [fingerprint] runs on [engine], or on none; returns the row to push. */
     fun place(fingerprint: Fingerprint, engine: InstanceId?): SuspicionRow = put(own(fingerprint).copy(runsOn = engine))
 
-    /** Whether another suspect with a smaller fingerprint is placed on [engine]; of two placements at once the smaller one stays. */
-    fun losesPlace(fingerprint: Fingerprint, engine: InstanceId): Boolean = rows.any { (other, known) ->
-        other.value < fingerprint.value && known.values.any { it.runsOn == engine }
+    /**
+     * Whether the placement of [fingerprint] on [engine] has to give way: to another suspect on the engine, or to an equal request
+     * that a peer runs. Of two placements at once the smaller fingerprint stays, of equal ones the smaller reporter's.
+     */
+    fun losesPlace(fingerprint: Fingerprint, engine: InstanceId): Boolean {
+        val isEngineTaken = rows.any { (other, known) ->
+            other.value < fingerprint.value && known.values.any { it.runsOn == engine }
+        }
+        val isEqualPlaced = rows[fingerprint].orEmpty().values.any { it.reporter.value < self.value && it.runsOn != null }
+        return isEngineTaken || isEqualPlaced
     }
 
     /** Records the success of [fingerprint]; returns the row to push, or null when nothing was known against it. */
@@ -144,6 +155,12 @@
 
         /** Engines whose death within [CORRELATION_MS] is a loss that no request caused. */
         const val CORRELATED_ENGINES = 3
+
+        /**
+         * Time in which the rows of peers about the same death arrive: their probe of the engine takes up to 500 ms. Without the wait
+         * the only request of one instance on an engine would be taken for the only one of all instances.
+         */
+        const val SETTLE_MS = 1_000L
         private const val DEATHS_TO_QUARANTINE = 2
     }
 }
