--- /dev/null
+++ b/core/src/test/kotlin/org/godwitwick/core/admission/DemandTableTest.kt
@@ -0,0 +1,88 @@
+package org.godwitwick.core.admission
+
+import org.godwitwick.core.model.InstanceId
+import org.godwitwick.core.model.OrganisationId
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThanOrEqualTo
+
+class DemandTableTest {
+    private val bakery = OrganisationId("bakery")
+    private val ids = (0 until 4).map { InstanceId("n$it") }
+
+    private fun demand(atMs: Long, work: Double, counted: Int = 4) = Demand(atMs, counted, mapOf(bakery to work))
+
+    private fun tables(count: Int) = ids.take(count).map { id -> DemandTable(id, 0).apply { onList(ids.take(count).toSet(), 0) } }
+
+    private fun exchange(tables: List<DemandTable>, group: List<Int>, nowMs: Long, work: (Int) -> Double) {
+        val rows = tables.indices.associateWith { demand(nowMs, work(it), tables[it].countedInstances(nowMs)) }
+        rows.forEach { (i, row) -> tables[i].onPublished(row) }
+        for (to in group) for (from in group) if (from != to) tables[to].onRow(ids[from], rows.getValue(from), nowMs)
+    }
+
+    private fun total(tables: List<DemandTable>, nowMs: Long) = tables.sumOf { it.shareOf(1_000.0, bakery, nowMs) }
+
+    // Guards against a limit that an organisation can't use because its callers reach one instance only.
+    @Test
+    fun `instances that see each other hand out the whole limit by demand`() {
+        val tables = tables(4)
+        exchange(tables, listOf(0, 1, 2, 3), 10_000) { if (it == 0) 100.0 else 0.0 }
+        expectThat(total(tables, 10_000)).isEqualTo(1_000.0)
+        expectThat(tables[0].shareOf(1_000.0, bakery, 10_000)).isEqualTo(625.0)
+    }
+
+    // Guards against over-admission during a partition, whichever way the instances are divided.
+    @Test
+    fun `groups that can't see each other never exceed the limit together`() {
+        for (groups in listOf(
+            listOf(listOf(0, 1), listOf(2, 3)),
+            listOf(listOf(0), listOf(1, 2, 3)),
+            ids.indices.map {
+                listOf(it)
+            },
+        )) {
+            val tables = tables(4)
+            groups.forEach { group -> exchange(tables, group, 10_000) { it + 1.0 } }
+            expectThat(total(tables, 10_000)).isLessThanOrEqualTo(1_000.0001)
+        }
+    }
+
+    // Guards against a floor share on top of the others' before they know of the new instance.
+    @Test
+    fun `a new instance gets nothing until the others count it in`() {
+        val old = tables(3)
+        exchange(old, listOf(0, 1, 2), 10_000) { 1.0 }
+        val new = DemandTable(ids[3], 10_000).apply { onList(ids.toSet(), 10_000) }
+        old.forEachIndexed { i, _ -> new.onRow(ids[i], demand(10_000, 1.0, counted = 3), 10_000) }
+        expectThat(total(old + new, 10_100)).isLessThanOrEqualTo(1_000.0001)
+        old.forEach { it.onList(ids.toSet(), 10_500) }
+        exchange(old + new, listOf(0, 1, 2, 3), 10_600) { 1.0 }
+        expectThat(new.shareOf(1_000.0, bakery, 10_700)).isGreaterThan(0.0)
+        expectThat(total(old + new, 10_700)).isLessThanOrEqualTo(1_000.0001)
+    }
+
+    // Guards against a returning instance that still acts on what it knew before it was cut off.
+    @Test
+    fun `an instance that was cut off falls back to its floor and never raises the total`() {
+        val tables = tables(4)
+        exchange(tables, listOf(0, 1, 2, 3), 10_000) { 1.0 }
+        for (nowMs in 14_000L..30_000L step 1_000) {
+            exchange(tables, listOf(1, 2, 3), nowMs) { 1.0 }
+            expectThat(tables[0].shareOf(1_000.0, bakery, nowMs)).isEqualTo(125.0)
+            expectThat(total(tables, nowMs)).isLessThanOrEqualTo(1_000.0001)
+        }
+        exchange(tables, listOf(0, 1, 2, 3), 31_000) { 1.0 }
+        expectThat(total(tables, 31_000)).isLessThanOrEqualTo(1_000.0001)
+    }
+
+    // Guards against raising the others' parts while an instance that vanished from the list may still admit.
+    @Test
+    fun `a shrinking list takes effect only after the hold`() {
+        val table = tables(4)[0]
+        table.onList(ids.take(2).toSet(), 10_000)
+        expectThat(table.countedInstances(13_900)).isEqualTo(4)
+        expectThat(table.countedInstances(14_100)).isEqualTo(2)
+    }
+}
--- /dev/null
+++ b/node/src/test/kotlin/org/godwitwick/node/control/DirectorySelectorTest.kt
@@ -0,0 +1,73 @@
+package org.godwitwick.node.control
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import org.godwitwick.core.error.ErrorKind
+import org.godwitwick.core.model.Deadline
+import org.godwitwick.core.model.GenerateRequest
+import org.godwitwick.core.model.InstanceId
+import org.godwitwick.core.model.ListedInstance
+import org.godwitwick.core.model.ListedKind
+import org.godwitwick.core.model.OrganisationId
+import org.godwitwick.core.model.PromptClass
+import org.godwitwick.core.model.RequestId
+import org.godwitwick.core.placement.LoadReport
+import org.godwitwick.node.upstream.DispatchEnd
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+
+class DirectorySelectorTest {
+    private val directory = ReplicaDirectory("tn-north", "a").apply {
+        onList((0..2).map { ListedInstance(InstanceId("e$it"), ListedKind.ENGINE, "menu", "h:$it", null, "tn-north", "a") })
+    }
+    private val sent = SentRows(directory)
+    private val selector = DirectorySelector(directory, sent, seed = 1)
+
+    private fun request(id: String) =
+        GenerateRequest(RequestId(id), OrganisationId("o"), "menu", "x".repeat(8_000), 10, PromptClass.SHORT, Deadline(60_000))
+
+    private fun report(atMs: Long, isLeaving: Boolean = false) =
+        LoadReport("i", atMs, listOf(0, 0, 0, 0), 400_000, 400_000, 20_000.0, isLeaving)
+
+    // Guards against new work for a replica whose own report says that it leaves while the list still shows it live.
+    @Test
+    fun `a replica whose report says leaving gets no new work`() {
+        directory.onReport(InstanceId("e1"), report(0, isLeaving = true), 0)
+        val chosen = (1..50).mapNotNull { selector.select(request("r$it"), setOf(InstanceId("e0")), 10).get()?.id?.value }
+        expectThat(chosen.toSet()).isEqualTo(setOf("e2"))
+    }
+
+    // Guards against peers that all choose the same replica between two reports, and against rows that count twice.
+    @Test
+    fun `a peer's row adds its work once`() {
+        val peer = ReplicaDirectory("tn-north", "a").apply {
+            onList(listOf(checkNotNull(directory.cell(InstanceId("e0"))).listed))
+        }
+        val peerRows = SentRows(peer)
+        DirectorySelector(peer, peerRows, seed = 2).select(request("r1"), emptySet(), 100)
+        val row = peerRows.encode(200)
+        repeat(2) { sent.accept(InstanceId("n2"), row, 300) }
+        expectThat(directory.cell(InstanceId("e0"))?.load?.sent?.sumOf { it.prefillTokens }).isEqualTo(2_000L)
+        sent.accept(InstanceId("n2"), byteArrayOf(1, 2, 3), 400)
+    }
+
+    // Guards against an account of outstanding requests that drifts when the end is reported twice or without a first token.
+    @Test
+    fun `ends give back exactly what the dispatch took`() {
+        val id = checkNotNull(selector.select(request("r1"), emptySet(), 0).get()).id
+        repeat(2) { selector.onEnd(id, request("r1"), DispatchEnd.BROKEN, 10) }
+        val load = checkNotNull(directory.cell(id)).load
+        expectThat(load.outstanding).isEqualTo(0)
+        expectThat(load.waitingTokens).isEqualTo(0L)
+    }
+
+    // Guards against choosing excluded replicas when none is left.
+    @Test
+    fun `no replica is chosen when all are excluded`() {
+        val answer = selector.select(request("r1"), (0..2).map { InstanceId("e$it") }.toSet(), 0)
+        expectThat(answer.get()).isNull()
+        expectThat(answer.getError()?.kind).isEqualTo(ErrorKind.NO_UPSTREAM)
+    }
+}
