Add the experiment and slopes commands

Short requests are also refused less often after one long read: an organisation's debt stops its long reads at once and its shorter requests only beyond 30 s of its part of the limit.

--- a/core/src/main/kotlin/org/godwitwick/core/admission/OrganisationLimits.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/admission/OrganisationLimits.kt
@@ -16,11 +16,11 @@
     private var measuredAtMs = startedAtMs
 
     /** Charges [workTokens] to [organisation], or returns why it is refused. Refused work counts as demand all the same. */
-    fun charge(organisation: OrganisationId, workTokens: Long, nowMs: Long): Failure? {
+    fun charge(organisation: OrganisationId, workTokens: Long, isLongRead: Boolean, nowMs: Long): Failure? {
         val account = accounts.getOrPut(organisation) { Account(WorkBucket(0.0, startedAtMs)) }
         account.arrivedTokens += workTokens
         val rate = demand.shareOf(limitOf(organisation), organisation, nowMs)
-        if (!account.bucket.isOpen(rate, nowMs)) {
+        if (!account.bucket.isOpen(rate, nowMs, if (isLongRead) 0.0 else SHORTER_DEBT_SECONDS)) {
             return Failure(
                 ErrorKind.QUOTA_EXCEEDED,
                 "the organisation's work limit is reached at this instance",
@@ -64,6 +64,9 @@
 
         // One burst of a second should not move the split of a whole limit at once.
         const val SMOOTHING = 0.3
+
+        // One long read may cost an instance's part of many seconds. Shorter requests go on meanwhile, and long reads stop.
+        const val SHORTER_DEBT_SECONDS = 30.0
         const val IDLE_TOKENS_PER_SECOND = 1.0
     }
 }
--- a/core/src/main/kotlin/org/godwitwick/core/admission/WorkBucket.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/admission/WorkBucket.kt
@@ -5,10 +5,10 @@
  * zero, so that a request larger than the burst is possible and is paid for afterwards.
  */
 class WorkBucket(private var level: Double, private var atMs: Long) {
-    /** Whether work may pass at [nowMs] with [ratePerSecond] in force. */
-    fun isOpen(ratePerSecond: Double, nowMs: Long): Boolean {
+    /** Whether work may pass at [nowMs] with [ratePerSecond] in force and a debt of at most [debtSeconds] of it. */
+    fun isOpen(ratePerSecond: Double, nowMs: Long, debtSeconds: Double = 0.0): Boolean {
         refill(ratePerSecond, nowMs)
-        return level > 0.0
+        return ratePerSecond > 0.0 && level + debtSeconds * ratePerSecond > 0.0
     }
 
     /** Takes [workTokens]. */
--- /dev/null
+++ b/lab/src/main/kotlin/org/godwitwick/lab/LabMain.kt
@@ -0,0 +1,16 @@
+package org.godwitwick.lab
+
+import org.godwitwick.lab.experiment.ExperimentCommand
+import org.godwitwick.lab.slopes.SlopesCommand
+import picocli.CommandLine
+import picocli.CommandLine.Command
+import kotlin.system.exitProcess
+
+/** Experiments and measurements; not part of the product. */
+@Command(name = "lab", mixinStandardHelpOptions = true, subcommands = [ExperimentCommand::class, SlopesCommand::class])
+class LabCommand
+
+/** Runs the lab's command line. */
+fun main(args: Array<String>) {
+    exitProcess(CommandLine(LabCommand()).setCaseInsensitiveEnumValuesAllowed(true).execute(*args))
+}
--- a/node/src/main/kotlin/org/godwitwick/node/control/AdmissionGate.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/control/AdmissionGate.kt
@@ -115,7 +115,7 @@
         if (pending.answer.isDone) return
         val now = nowMs()
         if (!request.isLongRead) shorterArrived.merge(pending.model, request.work.prefillTokens, Long::plus)
-        limits.charge(request.organisation, request.work.workTokens, now)?.let {
+        limits.charge(request.organisation, request.work.workTokens, request.isLongRead, now)?.let {
             pending.answer.complete(Err(it))
             return
         }
