Let long reads use the replicas that shorter requests leave

The rule is now: the published share while shorter requests want the rest, and besides it what their demand leaves.

--- a/core/src/main/kotlin/org/godwitwick/core/admission/LongShare.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/admission/LongShare.kt
@@ -6,13 +6,13 @@
 /** Decides how many replicas of a data centre long reads may occupy. */
 object LongShare {
     /**
-     * Replicas that long reads may occupy out of [replicas]: what the demand of shorter requests, in replicas with headroom, leaves;
-     * at most [maxFraction] of all and never under one.
+     * Replicas that long reads may occupy out of [replicas]: [fraction] of all while shorter requests want the rest, and also what
+     * their demand, in replicas with headroom, leaves unused; never under one.
      */
-    fun replicasFor(replicas: Int, maxFraction: Double, shorterDemandReplicas: Double): Int {
-        val most = floor(replicas * maxFraction).toInt()
+    fun replicasFor(replicas: Int, fraction: Double, shorterDemandReplicas: Double): Int {
+        val own = floor(replicas * fraction).toInt()
         val left = replicas - ceil(shorterDemandReplicas * HEADROOM).toInt()
-        return minOf(most, left).coerceAtLeast(1)
+        return maxOf(own, left).coerceIn(1, maxOf(replicas, 1))
     }
 
     /**
