Wake a modelled engine when memory is released

Cause: an engine whose waiting requests lacked memory stopped stepping, and memory that a group gave back didn't wake it. A trace of the requests past their deadline showed 11 long and huge reads, most of them after the last arrival, without a first token on an idle engine. This is a fault of the model. The size of a group moves to core, so that the model and the selector share it.

--- a/core/src/main/kotlin/org/godwitwick/core/placement/ExpectedFirstToken.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/placement/ExpectedFirstToken.kt
@@ -1,5 +1,6 @@
 package org.godwitwick.core.placement
 
+import kotlin.math.ceil
 import kotlin.random.Random
 
 /**
@@ -126,6 +127,21 @@
 
         /** A replica without the memory makes the request wait for another one's end, which takes seconds. */
         const val SHORTAGE_MS = 5_000.0
+        const val MIN_GROUP = 2
+        const val MAX_GROUP = 4
+
+        /**
+         * Part of an engine's KV memory that one member may need; the rest is left to shorter requests. Larger groups with half of
+         * the memory each made no difference to the reads that miss their deadline in the experiment.
+         */
+        const val MEMBER_FRACTION = 0.9
+
+        /** Members of a group for [request] on engines of [kvCapacityTokens] each, or null when the largest group is too small. */
+        fun groupSize(request: PlacementRequest, kvCapacityTokens: Int): Int? {
+            if (request.kvTokens > kvCapacityTokens.toLong() * MAX_GROUP) return null
+            return ceil(request.kvTokens / (kvCapacityTokens * MEMBER_FRACTION)).toInt().coerceIn(MIN_GROUP, MAX_GROUP)
+        }
+
         private const val MS_PER_SECOND = 1_000.0
     }
 }
--- a/lab/src/main/kotlin/org/godwitwick/lab/experiment/EngineModel.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/experiment/EngineModel.kt
@@ -50,6 +50,8 @@
         kvUsed -= reserved.remove(job) ?: 0L
         waiting.forEach { queue -> queue.removeAll { it.job === job } }
         decoding.remove(job)
+        // A task that waits for memory may go on now.
+        if (isAlive && !isStepping) step()
     }
 
     /** Queues [task]. */
--- a/lab/src/main/kotlin/org/godwitwick/lab/experiment/EntryModel.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/experiment/EntryModel.kt
@@ -24,7 +24,6 @@
 import org.godwitwick.node.control.DemandRows
 import org.godwitwick.node.control.ReplicaDirectory
 import org.godwitwick.node.control.SentRows
-import kotlin.math.ceil
 import kotlin.random.Random
 
 /** One entry instance in model time: the real directory, rows, admission and policy, without threads and sockets. */
@@ -146,8 +145,8 @@
         if (job.end != null) return
         val request = placementOf(job.arrival)
         val table = directory.table(MODEL) ?: return onEnd(job, JobEnd.REFUSED)
-        val members = if (request.kvTokens > fleet.speed.kvTokens * USABLE_FRACTION) {
-            val count = ceil(request.kvTokens / (fleet.speed.kvTokens * USABLE_FRACTION)).toInt()
+        val members = if (request.kvTokens > fleet.speed.kvTokens) {
+            val count = ExpectedFirstToken.groupSize(request, fleet.speed.kvTokens) ?: return onEnd(job, JobEnd.REFUSED)
             groups.chooseGroup(request, count, table, excluded, now, random) ?: return onEnd(job, JobEnd.REFUSED)
         } else {
             listOf(policy.choose(request, table, excluded, now, random)?.replica ?: return onEnd(job, JobEnd.REFUSED))
@@ -213,7 +212,6 @@
         private const val SMOOTHING = 0.3
         private const val MIN_FRACTION = 0.05
         private const val MAX_DISPATCHES = 3
-        private const val USABLE_FRACTION = 0.9
         private const val RETRY_MS = 200.0
         private const val NETWORK_MS = 1.0
     }
--- a/node/src/main/kotlin/org/godwitwick/node/control/DirectorySelector.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/control/DirectorySelector.kt
@@ -18,7 +18,6 @@
 import org.godwitwick.node.upstream.SelectedReplica
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
-import kotlin.math.ceil
 import kotlin.random.Random
 
 /**
@@ -60,8 +59,8 @@
         val capacity =
             table.local.asSequence().firstNotNullOfOrNull { table.replica(it)?.kvCapacityTokens }
                 ?: return Err(noReplica(request))
-        val count = ceil(wanted.kvTokens / (capacity * USABLE_FRACTION)).toInt().coerceAtLeast(MIN_GROUP)
-        if (count > MAX_GROUP) return Err(Failure(ErrorKind.TOO_LARGE, "the prompt needs more than $MAX_GROUP engines"))
+        val count = ExpectedFirstToken.groupSize(wanted, capacity)
+            ?: return Err(Failure(ErrorKind.TOO_LARGE, "the prompt needs more than ${ExpectedFirstToken.MAX_GROUP} engines"))
         val members = groupPolicy.chooseGroup(wanted, count, table, slots(excluded), nowMs, randoms.get())
             ?: return Err(noReplica(request))
         members.forEach { account(it, request, wanted.promptTokens.toLong() / count, wanted.kvTokens / count, nowMs) }
@@ -93,12 +92,4 @@
 
     private fun noReplica(request: GenerateRequest) =
         Failure(ErrorKind.NO_UPSTREAM, "no usable replica of model ${request.model} in reach")
-
-    private companion object {
-        const val MIN_GROUP = 2
-        const val MAX_GROUP = 4
-
-        /** The rest of an engine's memory is left to shorter requests. */
-        const val USABLE_FRACTION = 0.9
-    }
 }
