Fold the configuration stream and exchange it between instances

Instances state in their beats whether their configuration is confirmed and push a change of that at once; waiting for the next exchange was ruled out, because a log outage would then be recognised only after the 4 s from which a cut-off instance refuses work.

--- /dev/null
+++ b/core/src/test/kotlin/org/godwitwick/core/config/PublicationCheckTest.kt
@@ -0,0 +1,85 @@
+package org.godwitwick.core.config
+
+import kotlinx.serialization.json.Json
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+
+class PublicationCheckTest {
+    // Guards against an operator being told one fault at a time.
+    @Test
+    fun `all faults are reported at once with field, value and expectation`() {
+        val faulty = Publication(
+            id = "a b",
+            author = "",
+            atMs = 1,
+            changes = listOf(
+                change("admission.queueMax", 0, scope = "class:tiny"),
+                change("admission.longShar", 1),
+                change("claim.windowMs", 60_000, scope = "model:menu"),
+                change("request.priority", 1.5, expected = -2),
+            ),
+        )
+        expectThat(faultsOf(faulty).map { it.field }).containsExactly(
+            "id",
+            "author",
+            "reason",
+            "changes[0].scope",
+            "changes[0].value",
+            "changes[1].name",
+            "changes[2].scope",
+            "changes[3].expectedVersion",
+            "changes[3].value",
+        )
+        expectThat(faultsOf(faulty)[4]).isEqualTo(
+            ConfigFault("changes[0].value", "0", "a whole number from 1 to 100000 (requests)"),
+        )
+    }
+
+    // Guards against routes that no call can match or that are declared both idempotent and not.
+    @Test
+    fun `routes are checked one by one`() {
+        val value = Json.parseToJsonElement(
+            """[{"method":"FETCH","pathPrefix":"status","idempotent":true},
+               {"method":"GET","pathPrefix":"/s","idempotent":true},{"method":"GET","pathPrefix":"/s","idempotent":false}]""",
+        )
+        expectThat(FieldType.Routes.faultsOf(value).map { it.field }).containsExactly("[0].method", "[0].pathPrefix", "")
+        expectThat(
+            FieldType.Routes.faultsOf(Json.parseToJsonElement("[{\"method\":\"GET\"}]")).map {
+                it.field
+            },
+        ).containsExactly("")
+    }
+
+    // Guards against an exception without a reason that an auditor could read.
+    @Test
+    fun `an exception needs a reason and a default doesn't`() {
+        val exception = publication("a", change(QUEUE, 5, scope = "class:long"), reason = " ")
+        expectThat(faultsOf(exception).map { it.field }).containsExactly("reason")
+        expectThat(faultsOf(publication("a", change(QUEUE, 5), reason = ""))).isEmpty()
+    }
+
+    // Guards against an exception for an organisation being shadowed by one for its model, or a removed one staying in force.
+    @Test
+    fun `the most specific entry is in force`() {
+        val fold = foldOf(
+            listOf(
+                published(
+                    0,
+                    publication(
+                        "a",
+                        change("request.timeoutMs", 1_000),
+                        change("request.timeoutMs", 2_000, scope = "model:menu"),
+                    ),
+                ),
+                published(1, publication("b", change("request.timeoutMs", 3_000, scope = "organisation:caterer"))),
+            ),
+        )
+        val view = FoldedConfig(fold.state)
+        expectThat(view.whole(ConfigField.TIMEOUT_MS)).isEqualTo(1_000)
+        expectThat(view.whole(ConfigField.TIMEOUT_MS, ConfigSubject(model = "menu"))).isEqualTo(2_000)
+        expectThat(view.whole(ConfigField.TIMEOUT_MS, ConfigSubject("caterer", "menu"))).isEqualTo(3_000)
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/Membership.kt
@@ -0,0 +1,240 @@
+package org.godwitwick.node.peer
+
+import kotlinx.serialization.DeserializationStrategy
+import kotlinx.serialization.SerializationException
+import org.godwitwick.core.config.HEARING_MS
+import org.godwitwick.core.config.RegionHearing
+import org.godwitwick.core.membership.Heartbeat
+import org.godwitwick.core.membership.Member
+import org.godwitwick.core.membership.RowTopic
+import org.godwitwick.core.membership.VersionedRow
+import org.godwitwick.core.membership.delegatesOf
+import org.godwitwick.core.membership.mergeMembers
+import org.godwitwick.core.model.InstanceId
+import org.godwitwick.core.model.ListedInstance
+import org.godwitwick.core.model.ListedKind
+
+/** What an instance states about its configuration; [confirmedAtMs] is null while nothing confirmed it. */
+class ConfigStanding(val appliedOffset: Long, val confirmedAtMs: Long?) {
+    /** Whether the instance states at [nowMs] that it is confirmed. */
+    fun isConfirmed(nowMs: Long): Boolean = confirmedAtMs != null && nowMs - confirmedAtMs <= STATED_MS
+
+    companion object {
+        /**
+         * Age up to which an instance states that it is confirmed. Reading every 400 ms and pulling every 250 ms keep the age below 1.1 s, and
+         * an outage is known to all well before configuration stops to count as current.
+         */
+        const val STATED_MS = 1_500L
+    }
+}
+
+/** An instance and the offset that it is known to have applied, or null when it isn't heard. */
+class AppliedOffset(val id: InstanceId, val region: String, val dataCentre: String, val offset: Long?)
+
+/** Who this instance is on the list and how peers reach it. */
+class OwnMember(val peer: Peer, val incarnation: Long, val peerAddress: () -> String?)
+
+/**
+ * The member table of this instance, from the instance list and from rows of its peers. Instances of the own data centre are known by
+ * their beats, others by the summaries and rosters of their delegates. [tick] and the queries by time run on the control thread;
+ * [members] and the directory are read from any thread.
+ */
+class Membership(
+    private val own: OwnMember,
+    private val listed: () -> List<ListedInstance>,
+    private val rows: RowExchange,
+    private val standing: () -> ConfigStanding,
+) : PeerDirectory {
+    private val self get() = own.peer
+    private var lastSummaryMs: Long? = null
+    private var lastRosterMs: Long? = null
+    private var lastRoster: Roster? = null
+    private var wasConfirmed = false
+    private var hadConfirmed = false
+
+    /** All members, this instance included. */
+    @Volatile
+    var members: List<Member> = emptyList()
+        private set
+
+    @Volatile
+    private var addresses: Map<InstanceId, String> = emptyMap()
+
+    @Volatile
+    private var peers: List<Peer> = emptyList()
+
+    /** Whether this instance tells others that it leaves and takes no role any more. */
+    @Volatile
+    var isLeaving: Boolean = false
+
+    override fun addressOf(id: InstanceId): String? = addresses[id]
+
+    override fun livePeers(): List<Peer> = peers
+
+    /** Publishes this instance's rows and merges the member table anew. */
+    fun tick(nowMs: Long) {
+        publishBeat(nowMs, isUrgent = false)
+        members = mergeMembers(listed(), heartbeats(), nowMs)
+        addresses = members.mapNotNull { member -> member.peerAddress?.let { member.id to it } }.toMap()
+        peers = members.filter { it.isLive && it.id != self.id }.map { Peer(it.id, it.region, it.dataCentre) }
+        if (delegatesOf(self.dataCentre, members).firstOrNull() == self.id) publishForDataCentre(nowMs)
+    }
+
+    /** Tells peers at once when this instance, or the first or last one of its data centre, becomes confirmed or ceases to be. */
+    fun announceChanges(nowMs: Long) {
+        if (standing().isConfirmed(nowMs) != wasConfirmed) publishBeat(nowMs, isUrgent = true)
+        if (delegatesOf(self.dataCentre, members).firstOrNull() != self.id) return
+        if ((hearing(nowMs, HEARING_MS / 2).confirmed > 0) != hadConfirmed) publishSummary(nowMs, isUrgent = true)
+    }
+
+    /** What was heard of each region's listed instances; empty while the instance list was never read. */
+    fun regions(nowMs: Long): List<RegionHearing> {
+        val entries = listed().filter { it.kind == ListedKind.ENTRY }
+        if (entries.isEmpty()) return emptyList()
+        val isSelfListed = entries.any { it.id == self.id }
+        val centres = entries.map { it.region to it.dataCentre } + listOf(self.region to self.dataCentre).filter { !isSelfListed }
+        val local = hearing(nowMs, HEARING_MS)
+        val remote = summaries().filter {
+            it.first.ageMs(nowMs) <= HEARING_MS / 2
+        }.associate { it.second.dataCentre to it.second }
+        return centres.groupBy({ it.first }, { it.second }).map { (region, dataCentres) ->
+            val names = dataCentres.toSet()
+            RegionHearing(
+                region = region,
+                listed = dataCentres.size,
+                heard = names.sumOf { if (it == self.dataCentre) local.heard else remote[it]?.heard ?: 0 },
+                confirmed = names.sumOf { if (it == self.dataCentre) local.confirmed else remote[it]?.confirmed ?: 0 },
+            )
+        }
+    }
+
+    /** The offset that each listed or heard instance has applied, as far as it is known. */
+    fun appliedOffsets(nowMs: Long): List<AppliedOffset> {
+        val beats = beats().associate { (row, beat) ->
+            row.key.owner to
+                beat.appliedOffset.takeIf { row.ageMs(nowMs) <= HEARING_MS }
+        }
+        val centres = summaries().filter { it.first.ageMs(nowMs) <= HEARING_MS }.associate { it.second.dataCentre to it.second }
+        return members.map { member ->
+            val offset = if (member.dataCentre == self.dataCentre) {
+                beats[member.id]
+            } else {
+                centres[member.dataCentre]?.takeIf { member.isLive }?.let { summary ->
+                    summary.behind.firstOrNull { it.id == member.id.value }?.appliedOffset ?: summary.appliedOffset
+                }
+            }
+            AppliedOffset(member.id, member.region, member.dataCentre, offset)
+        }
+    }
+
+    private fun publishBeat(nowMs: Long, isUrgent: Boolean) {
+        val standing = standing()
+        wasConfirmed = standing.isConfirmed(nowMs)
+        val beat = Beat(self.region, self.dataCentre, own.peerAddress(), isLeaving, standing.appliedOffset, wasConfirmed)
+        publish(RowTopic.MEMBER, "", peerCbor.encodeToByteArray(Beat.serializer(), beat), isUrgent)
+    }
+
+    private fun publishSummary(nowMs: Long, isUrgent: Boolean) {
+        lastSummaryMs = nowMs
+        val summary = summary(nowMs)
+        hadConfirmed = summary.confirmed > 0
+        val body = peerCbor.encodeToByteArray(DataCentreSummary.serializer(), summary)
+        publish(RowTopic.DATA_CENTRE, SUMMARY_ROW, body, isUrgent)
+    }
+
+    private fun publish(topic: RowTopic, name: String, body: ByteArray, isUrgent: Boolean) {
+        if (isUrgent) rows.publishUrgent(topic, name, body) else rows.publish(topic, name, body)
+    }
+
+    private fun publishForDataCentre(nowMs: Long) {
+        if (lastSummaryMs.let { it == null || nowMs - it >= SUMMARY_PERIOD_MS }) publishSummary(nowMs, isUrgent = false)
+        val roster = roster()
+        if (roster == lastRoster && lastRosterMs.let { it != null && nowMs - it < ROSTER_PERIOD_MS }) return
+        lastRoster = roster
+        lastRosterMs = nowMs
+        rows.publish(RowTopic.DATA_CENTRE, ROSTER_ROW, peerCbor.encodeToByteArray(Roster.serializer(), roster))
+    }
+
+    private fun summary(nowMs: Long): DataCentreSummary {
+        val hearing = hearing(nowMs, HEARING_MS / 2)
+        val applied = beats().filter { it.first.ageMs(nowMs) <= HEARING_MS / 2 }
+            .map { (row, beat) -> BehindMember(row.key.owner.value, beat.appliedOffset) }
+        val newest = applied.maxOfOrNull { it.appliedOffset } ?: -1
+        val behind = applied.filter { it.appliedOffset < newest }
+        return DataCentreSummary(self.region, self.dataCentre, hearing.heard, hearing.confirmed, newest, behind)
+    }
+
+    private fun roster(): Roster {
+        val leaving = beats().filter { it.second.isLeaving }.mapTo(HashSet()) { it.first.key.owner }
+        val present = members.filter { it.dataCentre == self.dataCentre && (it.isLive || it.id in leaving) }
+        return Roster(
+            self.region,
+            self.dataCentre,
+            present.map { RosterMember(it.id.value, it.incarnation, it.peerAddress, it.id in leaving) },
+        )
+    }
+
+    private fun hearing(nowMs: Long, maxAgeMs: Long): RegionHearing {
+        val listedIds = listed().filter { it.kind == ListedKind.ENTRY }.mapTo(HashSet()) { it.id } + self.id
+        val heard = beats().filter { (row, _) -> row.key.owner in listedIds && row.ageMs(nowMs) <= maxAgeMs }
+        return RegionHearing(self.region, listedIds.size, heard.size, heard.count { it.second.isConfirmed })
+    }
+
+    private fun heartbeats(): List<Heartbeat> {
+        val local = beats().map { (row, beat) ->
+            Heartbeat(
+                id = row.key.owner,
+                incarnation = row.incarnation,
+                region = beat.region,
+                dataCentre = beat.dataCentre,
+                peerAddress = beat.peerAddress,
+                isLeaving = beat.isLeaving,
+                heardAtMs = row.madeAtMs,
+            )
+        }
+        val heardAtMs = summaries().associate { (row, summary) -> summary.dataCentre to row.madeAtMs + REMOTE_ALLOWANCE_MS }
+        val remote = youngest(ROSTER_ROW, Roster.serializer()) { it.dataCentre }.flatMap { (_, roster) ->
+            val atMs = heardAtMs[roster.dataCentre] ?: return@flatMap emptyList()
+            roster.members.map { heartbeatOf(it, roster, atMs) }
+        }
+        return local + remote
+    }
+
+    private fun heartbeatOf(member: RosterMember, roster: Roster, heardAtMs: Long) = Heartbeat(
+        id = InstanceId(member.id),
+        incarnation = member.incarnation,
+        region = roster.region,
+        dataCentre = roster.dataCentre,
+        peerAddress = member.peerAddress,
+        isLeaving = member.isLeaving,
+        heardAtMs = heardAtMs,
+    )
+
+    private fun beats(): List<Pair<VersionedRow, Beat>> =
+        rows.rows(RowTopic.MEMBER).mapNotNull { row -> decoded(row, Beat.serializer())?.let { row to it } }
+            .filter { it.second.dataCentre == self.dataCentre }
+
+    private fun summaries() = youngest(SUMMARY_ROW, DataCentreSummary.serializer()) { it.dataCentre }
+
+    // Two instances may take themselves to be the first delegate for a moment; the younger statement counts.
+    private fun <T : Any> youngest(name: String, type: DeserializationStrategy<T>, dataCentre: (T) -> String) =
+        rows.rows(RowTopic.DATA_CENTRE).filter { it.key.name == name }
+            .mapNotNull { row -> decoded(row, type)?.let { row to it } }
+            .filter { dataCentre(it.second) != self.dataCentre }
+            .groupBy { dataCentre(it.second) }.values
+            .map { statements -> statements.maxBy { it.first.madeAtMs } }
+
+    private fun <T : Any> decoded(row: VersionedRow, type: DeserializationStrategy<T>): T? = try {
+        peerCbor.decodeFromByteArray(type, row.body)
+    } catch (_: SerializationException) {
+        null
+    }
+
+    private companion object {
+        const val SUMMARY_PERIOD_MS = 1_000L
+        const val ROSTER_PERIOD_MS = 10_000L
+
+        // A summary is up to 1 s old and travels over several exchanges, which isn't silence of the instances it is about.
+        const val REMOTE_ALLOWANCE_MS = 2_000L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/PeerConnection.kt
@@ -0,0 +1,51 @@
+package org.godwitwick.node.peer
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import io.ktor.network.sockets.Connection
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeByteArray
+import io.ktor.utils.io.writeInt
+import kotlinx.coroutines.channels.Channel
+import java.io.IOException
+
+/** Encodes, verifies and counts the frames of this instance; shared by all connections. */
+internal class FrameGate(
+    val self: String,
+    private val incarnation: Long,
+    private val codec: FrameCodec,
+    private val limits: PeerLimits,
+    private val nowMs: () -> Long,
+) {
+    private val guard = ReplayGuard(self, limits.maxSkewMs)
+    private val sequences = java.util.concurrent.ConcurrentHashMap<String, java.util.concurrent.atomic.AtomicLong>()
+
+    fun encode(to: String, kind: FrameKind, correlation: Long, body: ByteArray): Result<ByteArray, FrameRefusal> {
+        val sequence = sequences.computeIfAbsent(to) { java.util.concurrent.atomic.AtomicLong() }.getAndIncrement()
+        return codec.encode(FrameHeader(self, to, incarnation, sequence, nowMs(), kind, correlation), body)
+    }
+
+    /** Reads one frame; a refused one ends the connection, because nothing after it can be trusted. */
+    suspend fun read(connection: Connection): PeerFrame {
+        val length = connection.input.readInt()
+        if (length !in 1..limits.maxFrameBytes) throw RefusedFrame(FrameRefusal.TOO_LARGE)
+        val decoded = codec.decode(connection.input.readByteArray(length))
+        val frame = decoded.get() ?: throw RefusedFrame(checkNotNull(decoded.component2()))
+        guard.refusalOf(frame.header, nowMs())?.let { throw RefusedFrame(it) }
+        return frame
+    }
+}
+
+/** A frame was refused. */
+internal class RefusedFrame(val refusal: FrameRefusal) : IOException("frame refused: $refusal")
+
+/** Writes [frame] with its length. */
+internal suspend fun Connection.writeFrame(frame: ByteArray) {
+    output.writeInt(frame.size)
+    output.writeByteArray(frame)
+    output.flush()
+}
+
+/** A queue of frames with a bound. */
+internal fun <T> boundedQueue(limits: PeerLimits): Channel<T> = Channel(limits.queueFrames)
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/PeerServer.kt
@@ -0,0 +1,120 @@
+package org.godwitwick.node.peer
+
+import com.github.michaelbull.result.get
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.Connection
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.connection
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.slf4j.LoggerFactory
+import java.io.IOException
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+
+/** Accepts connections of peers and passes verified frames to [handle], whose callback sends the answer. */
+internal class PeerServer(
+    private val gate: FrameGate,
+    private val limits: PeerLimits,
+    private val handle: (PeerFrame, answer: (ByteArray?) -> Unit) -> Unit,
+) {
+    private class Reply(val to: String, val kind: FrameKind, val correlation: Long, val body: ByteArray)
+
+    private val open = AtomicInteger()
+    private lateinit var socket: ServerSocket
+
+    /** Frames that were refused since the start. */
+    val refused = AtomicLong()
+
+    /** Port on which peers are accepted. */
+    val port: Int get() = (socket.localAddress as InetSocketAddress).port
+
+    fun start(scope: CoroutineScope, selector: SelectorManager, host: String, port: Int) {
+        socket = runBlocking { aSocket(selector).tcp().bind(host, port) { reuseAddress = true } }
+        scope.launch {
+            while (true) {
+                val accepted = try {
+                    socket.accept()
+                } catch (e: IOException) {
+                    // Accepting may fail for a while, for example without free file descriptors.
+                    log.warn("peer: accept failed: {}", e.message)
+                    delay(ACCEPT_RETRY_MS)
+                    continue
+                }
+                if (open.incrementAndGet() > limits.maxConnections) {
+                    open.decrementAndGet()
+                    accepted.close()
+                    continue
+                }
+                launch { serve(accepted.connection()) }.invokeOnCompletion { open.decrementAndGet() }
+            }
+        }
+    }
+
+    fun close() {
+        if (::socket.isInitialized) socket.close()
+    }
+
+    private suspend fun serve(connection: Connection) {
+        val replies = boundedQueue<Reply>(limits)
+        try {
+            connection.socket.use {
+                coroutineScope {
+                    val writer = launch { writeReplies(connection, replies) }
+                    try {
+                        while (true) take(withTimeout(limits.idleMs) { gate.read(connection) }, replies)
+                    } finally {
+                        writer.cancel()
+                    }
+                }
+            }
+        } catch (e: RefusedFrame) {
+            refused.incrementAndGet()
+            log.warn("peer: frame from {} refused: {}", connection.socket.remoteAddress, e.refusal)
+        } catch (e: CancellationException) {
+            log.debug("peer: connection closed: {}", e.message)
+        } catch (e: IOException) {
+            log.debug("peer: connection ended: {}", e.message)
+        } catch (e: RuntimeException) {
+            log.debug("peer: connection failed: {}", e.message)
+        }
+    }
+
+    private fun take(frame: PeerFrame, replies: Channel<Reply>) {
+        val header = frame.header
+        when (header.kind) {
+            FrameKind.PING -> replies.trySend(Reply(header.from, FrameKind.PONG, header.correlation, EMPTY))
+
+            FrameKind.SEND -> handle(frame) { }
+
+            FrameKind.REQUEST -> handle(frame) { body ->
+                val kind = if (body == null) FrameKind.NO_ANSWER else FrameKind.ANSWER
+                replies.trySend(Reply(header.from, kind, header.correlation, body ?: EMPTY))
+            }
+
+            FrameKind.ANSWER, FrameKind.NO_ANSWER, FrameKind.PONG -> throw RefusedFrame(FrameRefusal.MALFORMED)
+        }
+    }
+
+    private suspend fun writeReplies(connection: Connection, replies: Channel<Reply>) {
+        for (reply in replies) {
+            val frame = gate.encode(reply.to, reply.kind, reply.correlation, reply.body).get()
+                ?: gate.encode(reply.to, FrameKind.NO_ANSWER, reply.correlation, EMPTY).get()
+                ?: continue
+            connection.writeFrame(frame)
+        }
+    }
+
+    private companion object {
+        val log = LoggerFactory.getLogger(PeerServer::class.java)
+        const val ACCEPT_RETRY_MS = 100L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/PeerSystem.kt
@@ -0,0 +1,89 @@
+package org.godwitwick.node.peer
+
+import org.godwitwick.core.membership.Member
+import org.godwitwick.core.model.InstanceId
+import org.godwitwick.core.model.ListedInstance
+import org.godwitwick.node.control.ControlThread
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
+import kotlin.random.Random
+
+/**
+ * The peer network of one instance with its rows and member table.
+ *
+ * @param secret the shared secret of the instances, or null for an instance that runs alone.
+ * @param standing what this instance states about its configuration; read on the control thread.
+ */
+class PeerSystem(
+    self: Peer,
+    incarnation: Long,
+    secret: ByteArray?,
+    private val control: ControlThread,
+    private val listed: () -> List<ListedInstance>,
+    private val standing: () -> ConfigStanding,
+    private val host: String,
+    private val port: Int = 0,
+    limits: PeerLimits = PeerLimits(),
+    private val monotonicMs: () -> Long = { System.nanoTime() / 1_000_000 },
+) : AutoCloseable {
+    private val directory = object : PeerDirectory {
+        override fun addressOf(id: InstanceId): String? = membership.addressOf(id)
+
+        override fun livePeers(): List<Peer> = membership.livePeers()
+    }
+
+    /** The TCP transport, or null for an instance that runs alone. */
+    val transport: PeerTransport? = secret?.let { PeerTransport(PeerIdentity(self.id, incarnation, it), directory, limits) }
+
+    /** Messages between instances. */
+    val network: PeerNetwork = transport ?: NoPeers()
+
+    /** Messages from the control thread. */
+    val async: AsyncPeers = transport ?: NoAsyncPeers
+
+    private val store = RowStore(self, incarnation, async, { membership.members }, control, monotonicMs, Random(incarnation))
+
+    /** Versioned rows. */
+    val rows: RowExchange = store
+
+    /** The member table. */
+    val membership: Membership =
+        Membership(OwnMember(self, incarnation) { transport?.let { "$host:${it.port}" } }, listed, store) { standing() }
+
+    /** All members, this instance included; read from any thread. */
+    val members: List<Member> get() = membership.members
+
+    /** Accepts peers and starts the exchange. */
+    fun start() {
+        network.handle(Exchange::class.java) { _, message -> onControl { store.answer(message) } }
+        network.handle(RowPush::class.java) { from, message ->
+            control.post { store.take(from, message) }
+            null
+        }
+        transport?.start(host, port)
+        control.post(::tick)
+        control.every(EXCHANGE_PERIOD_MS, ::tick)
+        control.every(ANNOUNCE_PERIOD_MS) { membership.announceChanges(monotonicMs()) }
+    }
+
+    override fun close() {
+        transport?.close()
+    }
+
+    private fun tick() {
+        membership.tick(monotonicMs())
+        store.exchange()
+    }
+
+    private fun <T> onControl(query: () -> T?): T? = try {
+        control.ask(query).get(CONTROL_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+    } catch (_: TimeoutException) {
+        null
+    }
+
+    private companion object {
+        const val EXCHANGE_PERIOD_MS = 500L
+        const val ANNOUNCE_PERIOD_MS = 100L
+        const val CONTROL_TIMEOUT_MS = 500L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/ReplayGuard.kt
@@ -0,0 +1,50 @@
+package org.godwitwick.node.peer
+
+import java.util.BitSet
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.math.abs
+
+/** Refuses frames that were received before, that an earlier incarnation sent, that are too old or meant for another instance. */
+class ReplayGuard(private val self: String, private val maxSkewMs: Long) {
+    private class Seen(val incarnation: Long) {
+        private var highest = -1L
+        private val window = BitSet(WINDOW)
+
+        fun take(sequence: Long): Boolean {
+            if (sequence <= highest - WINDOW) return false
+            if (sequence > highest) {
+                if (sequence - highest >= WINDOW) window.clear() else (highest + 1..sequence).forEach { window.clear(slot(it)) }
+                highest = sequence
+            }
+            if (window[slot(sequence)]) return false
+            window.set(slot(sequence))
+            return true
+        }
+
+        private fun slot(sequence: Long) = (sequence % WINDOW).toInt()
+    }
+
+    private val seen = ConcurrentHashMap<String, Seen>()
+
+    /** Why [header] is refused at [nowMs], or null after recording it as received. */
+    fun refusalOf(header: FrameHeader, nowMs: Long): FrameRefusal? {
+        if (header.to != self) return FrameRefusal.OTHER_RECEIVER
+        if (abs(header.timeMs - nowMs) > maxSkewMs) return FrameRefusal.WRONG_TIME
+        var refusal: FrameRefusal? = null
+        seen.compute(header.from) { _, known ->
+            val current = if (known == null || header.incarnation > known.incarnation) Seen(header.incarnation) else known
+            refusal = when {
+                header.incarnation < current.incarnation -> FrameRefusal.OLD_INCARNATION
+                !current.take(header.sequence) -> FrameRefusal.REPLAYED
+                else -> null
+            }
+            current
+        }
+        return refusal
+    }
+
+    private companion object {
+        // Frames between two instances use up to two connections at a time and may overtake each other by a full queue.
+        const val WINDOW = 4_096
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/RowStore.kt
@@ -0,0 +1,128 @@
+package org.godwitwick.node.peer
+
+import com.github.michaelbull.result.get
+import org.godwitwick.core.membership.Member
+import org.godwitwick.core.membership.MemberState
+import org.godwitwick.core.membership.RowKey
+import org.godwitwick.core.membership.RowReach
+import org.godwitwick.core.membership.RowTable
+import org.godwitwick.core.membership.RowTopic
+import org.godwitwick.core.membership.VersionedRow
+import org.godwitwick.core.membership.delegatesOf
+import org.godwitwick.core.membership.rowVersion
+import org.godwitwick.core.model.InstanceId
+import org.godwitwick.node.control.ControlThread
+import kotlin.random.Random
+
+/**
+ * Holds this instance's view of all rows and exchanges them: every 500 ms with 3 random peers of the data centre, and a delegate also with
+ * 3 random delegates of other data centres. Used on the control thread only.
+ */
+class RowStore(
+    private val self: Peer,
+    private val incarnation: Long,
+    private val transport: AsyncPeers,
+    private val members: () -> List<Member>,
+    private val control: ControlThread,
+    private val monotonicMs: () -> Long,
+    private val random: Random,
+) : RowExchange {
+    private val table = RowTable()
+    private val listeners = HashMap<RowTopic, MutableList<(VersionedRow) -> Unit>>()
+    private var counter = 0L
+
+    override fun publish(topic: RowTopic, name: String, body: ByteArray) {
+        publishRow(topic, name, body)
+    }
+
+    override fun publishUrgent(topic: RowTopic, name: String, body: ByteArray) {
+        val row = publishRow(topic, name, body)
+        val push = RowPush(listOf(row.toWire(monotonicMs())), isUrgent = true)
+        localPeers().filter { it.state != MemberState.SILENT }.forEach { transport.send(it.id, push) }
+        if (topic.reach == RowReach.FLEET) remoteDelegates().forEach { (_, ids) -> transport.send(ids.first(), push) }
+    }
+
+    override fun rows(topic: RowTopic): List<VersionedRow> = table.ofTopic(topic)
+
+    override fun onRow(topic: RowTopic, listener: (VersionedRow) -> Unit) {
+        listeners.getOrPut(topic) { ArrayList() }.add(listener)
+    }
+
+    /** One round of exchanges. */
+    fun exchange() {
+        table.expire(monotonicMs())
+        localPeers().shuffled(random).take(FANOUT).forEach { exchangeWith(it.id, RowReach.DATA_CENTRE) }
+        if (self.id !in delegatesOf(self.dataCentre, members())) return
+        remoteDelegates().values.toList().shuffled(random).take(FANOUT)
+            .forEach { exchangeWith(it.random(random), RowReach.FLEET) }
+    }
+
+    /** Answers the exchange of a peer. */
+    fun answer(message: Exchange): ExchangeAnswer? {
+        val answer = table.answer(message.digest() ?: return null, message.reach)
+        return ExchangeAnswer(bounded(answer.rows), answer.wantedHashes)
+    }
+
+    /** Takes rows that [from] pushed. */
+    fun take(from: InstanceId, push: RowPush) {
+        val fresh = merge(push.rows, monotonicMs())
+        if (!push.isUrgent || fresh.isEmpty()) return
+        val fromElsewhere = members().any { it.id == from && it.dataCentre != self.dataCentre }
+        if (!fromElsewhere) return
+        val forwarded = RowPush(fresh.map { it.toWire(monotonicMs()) }, isUrgent = true)
+        localPeers().forEach { transport.send(it.id, forwarded) }
+    }
+
+    private fun exchangeWith(to: InstanceId, reach: RowReach) {
+        val digest = table.digest(reach)
+        val sentAtMs = monotonicMs()
+        transport.ask(to, Exchange(reach, digest.keyHashes, digest.versions), EXCHANGE_TIMEOUT_MS).thenAccept { answer ->
+            val message = answer.get() as? ExchangeAnswer ?: return@thenAccept
+            control.post {
+                // Ages count from the time of asking, so that time on the way makes a row older and never younger.
+                merge(message.rows, sentAtMs)
+                val owed = bounded(table.ofHashes(message.wanted))
+                if (owed.isNotEmpty()) transport.send(to, RowPush(owed, isUrgent = false))
+            }
+        }
+    }
+
+    private fun merge(rows: List<WireRow>, sinceMs: Long): List<VersionedRow> {
+        val fresh = rows.mapNotNull { it.toRow(sinceMs) }.filter { it.key.owner != self.id && table.merge(it, monotonicMs()) }
+        fresh.forEach { row -> listeners[row.key.topic]?.forEach { it(row) } }
+        return fresh
+    }
+
+    // What doesn't fit follows in the next exchange.
+    private fun bounded(rows: List<VersionedRow>): List<WireRow> {
+        val nowMs = monotonicMs()
+        var bytes = 0
+        return rows.takeWhile { row ->
+            bytes += row.body.size + ROW_OVERHEAD_BYTES
+            bytes <= MAX_ROWS_BYTES
+        }.map { it.toWire(nowMs) }
+    }
+
+    private fun publishRow(topic: RowTopic, name: String, body: ByteArray): VersionedRow {
+        val row = VersionedRow(RowKey(topic, self.id, name), rowVersion(incarnation, counter++), monotonicMs(), body)
+        table.merge(row, monotonicMs())
+        return row
+    }
+
+    private fun localPeers() = members().filter { it.dataCentre == self.dataCentre && it.id != self.id }
+
+    // While nobody of a data centre was heard, any of its listed instances may be its delegate.
+    private fun remoteDelegates(): Map<String, List<InstanceId>> {
+        val all = members()
+        return all.filter { it.dataCentre != self.dataCentre }.groupBy { it.dataCentre }.mapValues { (dataCentre, there) ->
+            delegatesOf(dataCentre, there).ifEmpty { there.map { it.id } }
+        }
+    }
+
+    private companion object {
+        const val FANOUT = 3
+        const val EXCHANGE_TIMEOUT_MS = 1_000L
+        const val MAX_ROWS_BYTES = 512 * 1024
+        const val ROW_OVERHEAD_BYTES = 64
+    }
+}
