Add metrics, graceful shutdown and request ids to the entry instance

Cause: an instance could not be observed or replaced. A termination signal cut streams, readiness never failed, and log lines of a request could not be found again.

- NodeMetrics holds all metrics of an instance.
Time to the first token counts from the moment the request's header has arrived, so the wait for a worker thread is included.
The 50 busiest organisations keep series of their own; a ranking removes the series of those that left.
Every request is counted once, a caller that goes away as cancelled.
- Drain fails readiness at once, serves during drainNoticeMs, then refuses with draining and waits for the exchanges in flight, at the longest until 2 s after their latest deadline.
Exchanges are counted in the server from header to last byte, since an answer that the handler has returned is not yet written.
- serve handles TERM and INT itself and returns 0.
A shutdown hook was ruled out: the process would exit with 143.
- A caller's Request-Id is accepted when it is a UUID and gets a random suffix.
Using it unchanged was ruled out: two callers could then give two requests the same identity, which is what the stream check compares.
The message of a bad_request and the text of unexpected exceptions are not logged, because both can quote the prompt.

--- a/cli/src/main/kotlin/org/godwitwick/cli/Main.kt
+++ b/cli/src/main/kotlin/org/godwitwick/cli/Main.kt
@@ -18,5 +18,5 @@
 
 /** Runs the command line. */
 fun main(args: Array<String>) {
-    exitProcess(CommandLine(GodwitwickCommand()).execute(*args))
+    exitProcess(CommandLine(GodwitwickCommand()).setCaseInsensitiveEnumValuesAllowed(true).execute(*args))
 }
--- a/cli/src/main/kotlin/org/godwitwick/cli/ServeCommand.kt
+++ b/cli/src/main/kotlin/org/godwitwick/cli/ServeCommand.kt
@@ -7,32 +7,50 @@
 import org.godwitwick.node.settings.SettingsFault
 import org.godwitwick.node.settings.readJsonFile
 import picocli.CommandLine.Command
+import picocli.CommandLine.Option
 import picocli.CommandLine.Parameters
+import sun.misc.Signal
 import java.nio.file.Path
 import java.util.concurrent.Callable
 import java.util.concurrent.CountDownLatch
 
+/** Formats of log lines. */
+enum class LogFormat { TEXT, JSON }
+
 /** Runs one entry instance until it is terminated. */
 @Command(name = "serve", mixinStandardHelpOptions = true, description = ["Runs one entry instance."])
 class ServeCommand : Callable<Int> {
     @Parameters(index = "0", paramLabel = "SETTINGS", description = ["Settings file, JSON with comments."])
     lateinit var settingsPath: Path
 
+    @Option(names = ["--log-format"], description = ["Format of log lines on standard error: text or json."])
+    var logFormat: LogFormat? = null
+
     override fun call(): Int {
+        logFormat?.let { System.setProperty(LOG_FORMAT_PROPERTY, it.name.lowercase()) }
         val settings = readJsonFile(settingsPath, NodeSettings.serializer()).getOrElse { return report(it) }
         val keysPath = settingsPath.resolveSibling(settings.keysFile)
         val keys = readJsonFile(keysPath, KeyFile.serializer()).getOrElse { return report(it) }
         val node = EntryNode(settings, keys)
-        val stopped = CountDownLatch(1)
-        Runtime.getRuntime().addShutdownHook(
-            Thread {
-                node.close()
-                stopped.countDown()
-            },
-        )
+        return serve(EntryNode(settings, keys))
+    }
+
+    private fun serve(node: EntryNode): Int = node.use {
+        val terminated = CountDownLatch(1)
+        onTermination {
+            node.beginDrain()
+            terminated.countDown()
+        }
         node.start()
-        stopped.await()
-        return 0
+        terminated.await()
+        node.awaitDrained()
+        0
+    }
+
+    // A shutdown hook would end the process with the signal's exit code; a handler lets it return 0. It stays set, so a second signal
+    // changes nothing.
+    private fun onTermination(action: () -> Unit) {
+        listOf("TERM", "INT").forEach { name -> Signal.handle(Signal(name)) { action() } }
     }
 
     private fun report(faults: List<SettingsFault>): Int {
@@ -42,5 +60,6 @@
 
     private companion object {
         const val EXIT_BAD_SETTINGS = 2
+        const val LOG_FORMAT_PROPERTY = "GODWITWICK_LOG_FORMAT"
     }
 }
--- a/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
@@ -6,7 +6,12 @@
 import org.godwitwick.core.model.ClassBounds
 import org.godwitwick.node.control.ControlThread
 import org.godwitwick.node.http.CallerRoutes
+import org.godwitwick.node.http.Drain
+import org.godwitwick.node.http.InFlight
+import org.godwitwick.node.http.OperationRoutes
+import org.godwitwick.node.http.ReadinessGate
 import org.godwitwick.node.http.StreamingUndertow
+import org.godwitwick.node.metrics.NodeMetrics
 import org.godwitwick.node.platform.HttpInstanceList
 import org.godwitwick.node.platform.ListPoller
 import org.godwitwick.node.security.KeyRing
@@ -14,10 +19,7 @@
 import org.godwitwick.node.settings.NodeSettings
 import org.godwitwick.node.upstream.EngineClient
 import org.godwitwick.node.upstream.FirstReplicaService
-import org.http4k.core.Method
-import org.http4k.core.Response
-import org.http4k.core.Status
-import org.http4k.routing.bind
+import org.godwitwick.node.upstream.RequestIdInterceptor
 import org.http4k.routing.routes
 import org.http4k.server.Http4kServer
 import org.slf4j.LoggerFactory
@@ -25,7 +27,13 @@
 
 /** One entry instance: the library that the `serve` command runs. */
 class EntryNode(private val settings: NodeSettings, keyFile: KeyFile) : AutoCloseable {
-    private val control = ControlThread()
+    private val metrics = NodeMetrics()
+    private val inFlight = InFlight()
+
+    /** Reasons for which this instance is not ready. */
+    val readiness = ReadinessGate().apply { block("starting", "the instance is starting") }
+    private val drain = Drain(readiness, inFlight, settings.drainNoticeMs, System::currentTimeMillis)
+    private val control = ControlThread(metrics::controlQueueDelay)
     private val client = upstreamClient(settings)
     private val list = ListPoller(HttpInstanceList(client, settings.instanceListUrl), settings.listPollMs)
     private val callers = CallerRoutes(
@@ -34,9 +42,17 @@
         bounds = { ClassBounds() },
         defaultTimeoutMs = settings.defaultTimeoutMs,
         nowMs = System::currentTimeMillis,
+        metrics = metrics,
+        refusal = drain::refusal,
+        onDeadline = inFlight::extendTo,
     )
-    private val server: Http4kServer = StreamingUndertow(settings.host, settings.httpPort, settings.workerThreads)
-        .toServer(routes(callers.routes(), operationRoutes()))
+    private val server: Http4kServer = StreamingUndertow(
+        settings.host,
+        settings.httpPort,
+        settings.workerThreads,
+        inFlight = inFlight,
+        isClosing = drain::isDraining,
+    ).toServer(routes(callers.routes(), OperationRoutes(readiness, metrics).routes()))
 
     /** Port on which callers are served. */
     val httpPort: Int get() = server.port()
@@ -45,13 +61,17 @@
     fun start() {
         list.start()
         server.start()
+        readiness.open("starting")
         log.info("node: instance {} serves callers on port {}", settings.instanceId, httpPort)
     }
 
-    private fun operationRoutes() = routes(
-        "/livez" bind Method.GET to { Response(Status.OK) },
-        "/readyz" bind Method.GET to { Response(Status.OK) },
-    )
+    /** Begins the graceful shutdown; returns at once and may be called from any thread, more than once. */
+    fun beginDrain() = drain.begin()
+
+    /** Waits until the shutdown's notice time has passed and the requests in flight have ended. */
+    fun awaitDrained() {
+        drain.await()
+    }
 
     override fun close() {
         server.stop()
@@ -70,6 +90,7 @@
         fun upstreamClient(settings: NodeSettings): OkHttpClient = OkHttpClient.Builder()
             .retryOnConnectionFailure(false)
             .followRedirects(false)
+            .addInterceptor(RequestIdInterceptor)
             .connectTimeout(settings.stallTimeoutMs, TimeUnit.MILLISECONDS)
             .readTimeout(settings.stallTimeoutMs, TimeUnit.MILLISECONDS)
             .writeTimeout(settings.stallTimeoutMs, TimeUnit.MILLISECONDS)
--- a/node/src/main/kotlin/org/godwitwick/node/http/Answers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/Answers.kt
@@ -31,7 +31,7 @@
 fun failureResponse(failure: Failure, id: RequestId): Response {
     val response = Response(Status(failure.kind.httpStatus, failure.kind.code))
         .header("Content-Type", "application/json")
-        .header("Request-Id", id.value)
+        .header(REQUEST_ID_HEADER, id.value)
         .body(Json.encodeToString(errorAnswer(failure, id)))
     val retryAfterMs = failure.retryAfterMs ?: return response
     return response.header("Retry-After", ((retryAfterMs + MS_PER_SECOND - 1) / MS_PER_SECOND).toString())
--- a/node/src/main/kotlin/org/godwitwick/node/http/CallerRoutes.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/CallerRoutes.kt
@@ -10,6 +10,8 @@
 import org.godwitwick.core.model.GenerateRequest
 import org.godwitwick.core.model.OrganisationId
 import org.godwitwick.core.model.RequestId
+import org.godwitwick.node.metrics.NodeMetrics
+import org.godwitwick.node.metrics.RequestMeter
 import org.godwitwick.node.security.KeyRing
 import org.godwitwick.node.security.Principal
 import org.godwitwick.node.upstream.GenerateService
@@ -24,7 +26,9 @@
 import org.http4k.routing.bind
 import org.http4k.routing.path
 import org.http4k.routing.routes
-import java.util.UUID
+import org.slf4j.LoggerFactory
+import org.slf4j.MDC
+import java.io.IOException
 
 /** The routes that callers use for model requests. */
 class CallerRoutes(
@@ -33,6 +37,9 @@
     private val bounds: () -> ClassBounds,
     private val defaultTimeoutMs: Long,
     private val nowMs: () -> Long,
+    private val metrics: NodeMetrics = NodeMetrics(),
+    private val refusal: () -> Failure? = { null },
+    private val onDeadline: (Deadline) -> Unit = {},
 ) {
     /** All routes of this part. */
     fun routes(): RoutingHttpHandler = routes(
@@ -41,43 +48,58 @@
         "/v1/requests/{id}/cancel" bind Method.POST to forCaller(::cancel),
     )
 
-    private fun forCaller(action: (Request, OrganisationId, RequestId) -> Response): HttpHandler = { request ->
-        val id = RequestId(UUID.randomUUID().toString())
-        when (val principal = keys.principalOf(request.header("Authorization"))) {
-            is Principal.Caller -> action(request, principal.organisation, id)
-            is Principal.Operator -> failureResponse(Failure(ErrorKind.FORBIDDEN, "an operator's key can't send requests"), id)
-            null -> failureResponse(Failure(ErrorKind.UNAUTHENTICATED, "no valid key in the Authorization header"), id)
+    private fun forCaller(action: (Request, OrganisationId, RequestTrack) -> Response): HttpHandler = { request ->
+        val track = trackOf(request)
+        val refused = refusal()
+        val principal = keys.principalOf(request.header("Authorization"))
+        when {
+            refused != null -> track.failed(refused)
+            principal is Principal.Caller -> guarded(track) { action(request, principal.organisation, track) }
+            principal is Principal.Operator -> track.failed(Failure(ErrorKind.FORBIDDEN, "an operator's key can't send requests"))
+            else -> track.failed(Failure(ErrorKind.UNAUTHENTICATED, "no valid key in the Authorization header"))
         }
     }
 
-    private fun complete(request: Request, organisation: OrganisationId, id: RequestId): Response = withBadRequest(id) {
+    private fun trackOf(request: Request): RequestTrack {
+        val id = RequestIds.of(request.header(REQUEST_ID_HEADER))
+        MDC.put(REQUEST_ID_LOG_KEY, id.value)
+        val arrivedNanos = request.header(StreamingUndertow.ARRIVAL_HEADER)?.toLongOrNull() ?: System.nanoTime()
+        return RequestTrack(id, RequestMeter(metrics, arrivedNanos))
+    }
+
+    private fun complete(request: Request, organisation: OrganisationId, track: RequestTrack): Response {
         val message = lenientJson.decodeFromString<CompletionRequest>(request.bodyString())
-        val admitted = admitted(request, organisation, id, message.model, message.prompt, message.maxTokens)
-        respond(generate.start(admitted), admitted, message.stream, CompletionFormat)
+        val admitted = admitted(request, organisation, track.id, message.model, message.prompt, message.maxTokens)
+        return respond(generate.start(admitted), admitted, message.stream, CompletionFormat, track)
     }
 
-    private fun chat(request: Request, organisation: OrganisationId, id: RequestId): Response = withBadRequest(id) {
+    private fun chat(request: Request, organisation: OrganisationId, track: RequestTrack): Response {
         val message = lenientJson.decodeFromString<ChatRequest>(request.bodyString())
-        val admitted = admitted(request, organisation, id, message.model, message.toPrompt(), message.maxTokens)
-        respond(generate.start(admitted), admitted, message.stream, ChatFormat)
+        val admitted = admitted(request, organisation, track.id, message.model, message.toPrompt(), message.maxTokens)
+        return respond(generate.start(admitted), admitted, message.stream, ChatFormat, track)
     }
 
-    private fun cancel(request: Request, organisation: OrganisationId, id: RequestId): Response {
+    private fun cancel(request: Request, organisation: OrganisationId, track: RequestTrack): Response {
         val target = RequestId(request.path("id") ?: "")
-        if (generate.cancel(organisation, target)) return Response(Status.ACCEPTED)
-        return failureResponse(Failure(ErrorKind.NOT_FOUND, "no request $target in flight"), id)
+        if (!generate.cancel(organisation, target)) {
+            return track.failed(Failure(ErrorKind.NOT_FOUND, "no request $target in flight"))
+        }
+        track.ended(null)
+        return Response(Status.ACCEPTED)
     }
 
-    private fun withBadRequest(id: RequestId, action: () -> Response): Response = try {
+    private fun guarded(track: RequestTrack, action: () -> Response): Response = try {
         action()
     } catch (e: IllegalArgumentException) {
-        failureResponse(
-            Failure(
-                ErrorKind.BAD_REQUEST,
-                e.message?.lineSequence()?.first()?.take(MAX_MESSAGE_CHARS) ?: "bad request",
-            ),
-            id,
-        )
+        val message = e.message?.lineSequence()?.first()?.take(MAX_MESSAGE_CHARS) ?: "bad request"
+        track.failed(Failure(ErrorKind.BAD_REQUEST, message))
+    } catch (e: RuntimeException) {
+        // The exception's message may quote the request, so only its type and place are logged.
+        log.error("http: request failed with {} at {}", e.javaClass.name, e.stackTrace.firstOrNull())
+        track.failed(Failure(ErrorKind.INTERNAL, "internal error"))
+    } catch (e: IOException) {
+        track.ended(Failure(ErrorKind.CANCELLED, "the request's body was not read to its end"))
+        throw e
     }
 
     private fun admitted(
@@ -90,7 +112,8 @@
     ): GenerateRequest {
         require(maxTokens in 1..MAX_GENERATED_TOKENS) { "max_tokens is $maxTokens, expected 1 to $MAX_GENERATED_TOKENS" }
         val promptClass = bounds().classOf(GenerateRequest.estimateTokens(prompt))
-        return GenerateRequest(id, organisation, model, prompt, maxTokens, promptClass, deadlineOf(request))
+        val deadline = deadlineOf(request).also(onDeadline)
+        return GenerateRequest(id, organisation, model, prompt, maxTokens, promptClass, deadline)
     }
 
     private fun deadlineOf(request: Request): Deadline {
@@ -106,47 +129,53 @@
         request: GenerateRequest,
         isStreamed: Boolean,
         format: AnswerFormat,
+        track: RequestTrack,
     ): Response = started.fold(
-        { tokens -> if (isStreamed) streamed(tokens, request, format) else whole(tokens, request, format) },
-        { failureResponse(it, request.id) },
+        {
+            val tokens = track.meter.metered(it, request)
+            if (isStreamed) streamed(tokens, request, format, track) else whole(tokens, request, format, track)
+        },
+        track::failed,
     )
 
-    private fun streamed(tokens: TokenStream, request: GenerateRequest, format: AnswerFormat): Response {
+    private fun streamed(tokens: TokenStream, request: GenerateRequest, format: AnswerFormat, track: RequestTrack): Response {
         val body = SseBody(
             tokens,
             encodeToken = { Json.encodeToString(format.part(request, it.text)) },
             encodeFailure = { Json.encodeToString(errorAnswer(it, request.id)) },
-            onEnd = { },
+            onEnd = track::ended,
         )
         return Response(Status.OK)
             .header("Content-Type", "text/event-stream")
-            .header("Request-Id", request.id.value)
+            .header(REQUEST_ID_HEADER, request.id.value)
             .body(body)
     }
 
-    private fun whole(tokens: TokenStream, request: GenerateRequest, format: AnswerFormat): Response = tokens.use {
-        val text = StringBuilder()
-        var event = tokens.next()
-        while (event is TokenEvent.Token) {
-            text.append(event.text)
-            event = tokens.next()
-        }
-        when (event) {
-            is TokenEvent.Done -> wholeAnswer(request, format, text.toString(), event.tokens)
-            is TokenEvent.Failed -> failureResponse(event.failure, request.id)
-            is TokenEvent.Token -> error("a token can't end an answer")
+    private fun whole(tokens: TokenStream, request: GenerateRequest, format: AnswerFormat, track: RequestTrack): Response =
+        tokens.use {
+            val text = StringBuilder()
+            var event = tokens.next()
+            while (event is TokenEvent.Token) {
+                text.append(event.text)
+                event = tokens.next()
+            }
+            when (event) {
+                is TokenEvent.Done -> wholeAnswer(request, format, text.toString(), event.tokens).also { track.ended(null) }
+                is TokenEvent.Failed -> track.failed(event.failure)
+                is TokenEvent.Token -> error("a token can't end an answer")
+            }
         }
-    }
 
     private fun wholeAnswer(request: GenerateRequest, format: AnswerFormat, text: String, tokens: Int): Response =
         Response(Status.OK)
             .header("Content-Type", "application/json")
-            .header("Request-Id", request.id.value)
+            .header(REQUEST_ID_HEADER, request.id.value)
             .body(Json.encodeToString(format.whole(request, text, Usage(request.promptTokens, tokens))))
 
     private companion object {
         const val MAX_GENERATED_TOKENS = 65_536
         const val MAX_MESSAGE_CHARS = 200
         val lenientJson = Json { ignoreUnknownKeys = true }
+        val log = LoggerFactory.getLogger(CallerRoutes::class.java)
     }
 }
--- a/node/src/main/kotlin/org/godwitwick/node/http/SseBody.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/SseBody.kt
@@ -1,5 +1,6 @@
 package org.godwitwick.node.http
 
+import org.godwitwick.core.error.ErrorKind
 import org.godwitwick.core.error.Failure
 import org.godwitwick.node.upstream.TokenEvent
 import org.godwitwick.node.upstream.TokenStream
@@ -11,6 +12,8 @@
  *
  * A complete answer ends with `data: [DONE]`. A failed one ends with an `error` event, and then the read fails, so that the server
  * aborts the response.
+ *
+ * @property onEnd called once, with null when the answer is complete; a body that is closed before its end was given up by the caller.
  */
 class SseBody(
     private val tokens: TokenStream,
@@ -65,6 +68,9 @@
 
     override fun close() {
         tokens.close()
+        if (state != State.STREAMING) return
+        state = State.FAILED
+        onEnd(Failure(ErrorKind.CANCELLED, "the caller closed the connection"))
     }
 
     private enum class State { STREAMING, COMPLETE, FAILED }
--- a/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
@@ -13,6 +13,7 @@
 import org.http4k.server.Http4kServer
 import org.http4k.server.ServerConfig
 import org.slf4j.LoggerFactory
+import org.slf4j.MDC
 import java.io.IOException
 import java.io.InputStream
 import java.net.InetSocketAddress
@@ -25,6 +26,8 @@
  *
  * @property maxBodyBytes largest accepted request body.
  * @property maxHeaderBytes largest accepted request header.
+ * @property inFlight counts each exchange from its header on, those that wait for a worker thread included.
+ * @property isClosing whether connections are closed after their answer, so that callers connect to another instance.
  */
 class StreamingUndertow(
     private val host: String,
@@ -32,6 +35,8 @@
     private val workerThreads: Int,
     private val maxBodyBytes: Long = 16L * 1024 * 1024,
     private val maxHeaderBytes: Int = 16 * 1024,
+    private val inFlight: InFlight = InFlight(),
+    private val isClosing: () -> Boolean = { false },
 ) : ServerConfig {
     override fun toServer(http: HttpHandler): Http4kServer {
         val server = Undertow.builder()
@@ -39,11 +44,21 @@
             .setWorkerThreads(workerThreads)
             .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, maxBodyBytes)
             .setServerOption(UndertowOptions.MAX_HEADER_SIZE, maxHeaderBytes)
-            .setHandler(BlockingHandler(ExchangeHandler(http)))
+            .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, true)
+            .setHandler(counted(BlockingHandler(ExchangeHandler(http, isClosing))))
             .build()
         return RunningServer(server)
     }
 
+    private fun counted(next: UndertowHandler) = UndertowHandler { exchange ->
+        inFlight.enter()
+        exchange.addExchangeCompleteListener { _, nextListener ->
+            inFlight.leave()
+            nextListener.proceed()
+        }
+        next.handleRequest(exchange)
+    }
+
     private class RunningServer(private val server: Undertow) : Http4kServer {
         override fun start(): Http4kServer = apply { server.start() }
 
@@ -52,8 +67,16 @@
         override fun port(): Int = (server.listenerInfo.first().address as InetSocketAddress).port
     }
 
-    private class ExchangeHandler(private val http: HttpHandler) : UndertowHandler {
-        override fun handleRequest(exchange: HttpServerExchange) {
+    private class ExchangeHandler(private val http: HttpHandler, private val isClosing: () -> Boolean) : UndertowHandler {
+        // The answer's body is produced on this thread, so the logging context of the request holds until the last byte.
+        override fun handleRequest(exchange: HttpServerExchange) = try {
+            if (isClosing()) exchange.isPersistent = false
+            handle(exchange)
+        } finally {
+            MDC.clear()
+        }
+
+        private fun handle(exchange: HttpServerExchange) {
             val method = try {
                 Method.valueOf(exchange.requestMethod.toString())
             } catch (_: IllegalArgumentException) {
@@ -65,10 +88,13 @@
 
         private fun readRequest(exchange: HttpServerExchange, method: Method): Request {
             val query = exchange.queryString.let { if (it.isEmpty()) "" else "?$it" }
-            val headers = exchange.requestHeaders.flatMap { values -> values.map { values.headerName.toString() to it } }
+            val headers = exchange.requestHeaders
+                .filterNot { it.headerName.toString().equals(ARRIVAL_HEADER, ignoreCase = true) }
+                .flatMap { values -> values.map { values.headerName.toString() to it } }
             val length = exchange.requestContentLength.takeIf { it >= 0 }
             return Request(method, exchange.requestPath + query)
                 .headers(headers)
+                .header(ARRIVAL_HEADER, exchange.requestStartTime.toString())
                 .body(exchange.inputStream, length)
                 .source(RequestSource(exchange.sourceAddress.hostString))
         }
@@ -103,8 +129,10 @@
         }
     }
 
-    private companion object {
-        const val COPY_BUFFER_BYTES = 16 * 1024
-        val log = LoggerFactory.getLogger(StreamingUndertow::class.java)
+    companion object {
+        /** Internal request header: time at which the request's header arrived, on the scale of [System.nanoTime]. */
+        const val ARRIVAL_HEADER = "Godwitwick-Arrival-Nanos"
+        private const val COPY_BUFFER_BYTES = 16 * 1024
+        private val log = LoggerFactory.getLogger(StreamingUndertow::class.java)
     }
 }
--- /dev/null
+++ b/node/src/test/kotlin/org/godwitwick/node/control/ControlThreadDelayTest.kt
@@ -0,0 +1,31 @@
+package org.godwitwick.node.control
+
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import strikt.api.expectThat
+import strikt.assertions.isGreaterThanOrEqualTo
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.LinkedBlockingQueue
+
+class ControlThreadDelayTest {
+    /** Guards against a busy control thread that no metric shows. */
+    @Test
+    @Timeout(20)
+    fun `work reports how long it waited behind other work`() {
+        val delays = LinkedBlockingQueue<Long>()
+        ControlThread(delays::put).use { control ->
+            val blocked = CountDownLatch(1)
+            control.post { blocked.await() }
+            val waiting = control.ask { }
+            Thread.sleep(WAIT_MS)
+            blocked.countDown()
+            waiting.get()
+            delays.take()
+            expectThat(delays.take()).isGreaterThanOrEqualTo(WAIT_MS * 1_000_000)
+        }
+    }
+
+    private companion object {
+        const val WAIT_MS = 30L
+    }
+}
--- /dev/null
+++ b/node/src/test/kotlin/org/godwitwick/node/http/RequestRecordsTest.kt
@@ -0,0 +1,126 @@
+package org.godwitwick.node.http
+
+import ch.qos.logback.classic.Level
+import ch.qos.logback.classic.Logger
+import ch.qos.logback.classic.LoggerContext
+import ch.qos.logback.classic.encoder.JsonEncoder
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.OutputStreamAppender
+import com.github.michaelbull.result.Err
+import org.godwitwick.core.error.ErrorKind
+import org.godwitwick.core.error.Failure
+import org.godwitwick.node.upstream.TokenEvent
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import org.slf4j.LoggerFactory
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.contains
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.startsWith
+import java.io.ByteArrayOutputStream
+
+/** What remains of requests in metrics and in the log. */
+@Timeout(30)
+class RequestRecordsTest {
+    private val generate = ScriptedGenerate()
+
+    /** Guards against a prompt or a key in the log, at every level and in every outcome of a request. */
+    @Test
+    fun `neither prompts nor keys are logged`() {
+        val log = captured { server -> server.runAllOutcomes() }
+        expectThat(log).contains("http: request ended").contains("bad_request").contains("unauthenticated").contains("internal")
+        val secrets = listOf(CallerServer.PROMPT, CallerServer.KEY, "wrong-key")
+        expectThat(secrets.filter { it in log }).isEmpty()
+    }
+
+    /** Guards against lines of a request that can't be found by its id, those of the streamed body included. */
+    @Test
+    fun `every line of a request carries its id`() {
+        val sent = "0198c1de-7a11-7cc3-8a1f-0123456789ab"
+        val log = captured { server ->
+            generate.events.put(TokenEvent.Failed(Failure(ErrorKind.UPSTREAM_FAILED, "engine stream broke")))
+            server.complete(stream = true, mapOf(REQUEST_ID_HEADER to sent)).use { answer ->
+                expectThat(answer.header(REQUEST_ID_HEADER)!!).startsWith("$sent.")
+                runCatching { answer.body.string() }
+            }
+        }
+        val lines = log.lines().filter { "http: request" in it }
+        expectThat(lines).hasSize(1).all { contains("\"request_id\":\"$sent.") }
+    }
+
+    /** Guards against outcomes that are not counted and against a gauge that does not return to zero. */
+    @Test
+    fun `each request is counted under the kind of its end`() {
+        CallerServer(generate).use { server ->
+            server.runAllOutcomes()
+            while (server.inFlight.count > 0) Thread.sleep(5)
+            val text = server.get("/metrics").use { it.body.string() }
+            listOf("ok", "bad_request", "unauthenticated", "internal", "no_upstream").forEach {
+                expectThat(text).contains("godwitwick_requests_total{result=\"$it\"} 1.0")
+            }
+            expectThat(text).contains("godwitwick_requests_in_flight 0.0")
+            expectThat(CallerServer.KEY in text).isFalse()
+        }
+    }
+
+    /** Guards against a request that is counted as in flight for ever after its caller went away. */
+    @Test
+    fun `a stream whose caller goes away counts as cancelled`() {
+        CallerServer(generate).use { server ->
+            generate.events.put(TokenEvent.Token(0, "a"))
+            server.complete(stream = true).use { it.body.source().readUtf8Line() }
+            var index = 1
+            while (server.inFlight.count > 0) {
+                generate.events.put(TokenEvent.Token(index++, "b"))
+                Thread.sleep(5)
+            }
+            expectThat(server.metrics.render()).contains("godwitwick_requests_total{result=\"cancelled\"} 1.0")
+        }
+    }
+
+    private fun CallerServer.runAllOutcomes() {
+        generate.events.put(TokenEvent.Done(0))
+        complete(stream = true).use { expectThat(it.body.string()).contains("[DONE]") }
+        post("/v1/completions", """{"model":"menu","prompt":"x","max_tokens":"${CallerServer.PROMPT}"}""").close()
+        post("/v1/completions", "{}", key = "wrong-key").close()
+        generate.onStart = { request -> error("can't place ${request.prompt}") }
+        complete(stream = false).use { expectThat(it.code).isEqualTo(500) }
+        generate.onStart = { Err(Failure(ErrorKind.NO_UPSTREAM, "no live replica")) }
+        complete(stream = true).use { expectThat(it.code).isEqualTo(503) }
+    }
+
+    private fun captured(action: (CallerServer) -> Unit): String {
+        val root = LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME) as Logger
+        val previous = root.level
+        val bytes = ByteArrayOutputStream()
+        val appender = jsonAppender(root.loggerContext, bytes)
+        root.level = Level.ALL
+        root.addAppender(appender)
+        try {
+            CallerServer(generate).use { server ->
+                action(server)
+                while (server.inFlight.count > 0) Thread.sleep(5)
+            }
+        } finally {
+            root.detachAppender(appender)
+            root.level = previous
+        }
+        return bytes.toString(Charsets.UTF_8)
+    }
+
+    private fun jsonAppender(context: LoggerContext, target: ByteArrayOutputStream) =
+        OutputStreamAppender<ILoggingEvent>().apply {
+            this.context = context
+            encoder = JsonEncoder().apply {
+                this.context = context
+                setWithFormattedMessage(true)
+                start()
+            }
+            outputStream = target
+            start()
+        }
+}
