--- /dev/null
+++ b/standins/src/main/kotlin/org/godwitwick/standins/log/FakeLog.kt
@@ -0,0 +1,172 @@
+package org.godwitwick.standins.log
+
+import io.undertow.server.HttpServerExchange
+import io.undertow.util.Headers
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import org.godwitwick.standins.FakeServer
+import org.godwitwick.standins.bodyText
+import org.godwitwick.standins.query
+import org.godwitwick.standins.sendJson
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+
+/** Stand-in of the platform's log. Faults are set with `POST /faults` (JSON of [LogFaults]) or [setFaults]. */
+class FakeLog(port: Int, private val nowMs: () -> Long = System::currentTimeMillis) : AutoCloseable {
+    private class Record(val offset: Long, val timeMs: Long, val data: String)
+
+    private class Stream {
+        val records = ArrayDeque<Record>()
+        var endOffset = 0L
+        val earliestOffset: Long get() = records.firstOrNull()?.offset ?: endOffset
+    }
+
+    private enum class Effect { ANSWERED, REFUSED, RATE_LIMITED, ANSWER_LOST }
+
+    private class Appended(val effect: Effect, val offset: Long = -1)
+
+    private val lock = ReentrantLock()
+    private val changed = lock.newCondition()
+    private val streams = HashMap<String, Stream>()
+    private val delayed = ArrayList<Pair<String, String>>()
+    private var faults = LogFaults()
+    private var secondStartMs = 0L
+    private var appendsInSecond = 0
+    private var appendCount = 0L
+    private val server = FakeServer(port, WORKER_THREADS, ::serve)
+
+    /** `ip:port` of the stand-in. */
+    val address: String get() = server.address
+
+    /** Appends that took effect. */
+    val appends: Long get() = lock.withLock { appendCount }
+
+    /** Appends that wait for [releaseDelayed]. */
+    val delayedAppends: Int get() = lock.withLock { delayed.size }
+
+    /** Replaces the faults in force. */
+    fun setFaults(newFaults: LogFaults) = lock.withLock { faults = newFaults }
+
+    /** Lets the delayed appends take effect. */
+    fun releaseDelayed() = lock.withLock {
+        delayed.forEach { (stream, data) -> store(stream, data) }
+        delayed.clear()
+    }
+
+    /** Drops the oldest records of every stream until each has [keep], whatever retention was promised. */
+    fun dropAllBut(keep: Int) = lock.withLock { streams.values.forEach { dropOldest(it, keep) } }
+
+    /** Names of the streams that have records or had some. */
+    fun streamNames(): Set<String> = lock.withLock { streams.filterValues { it.endOffset > 0 }.keys.toSet() }
+
+    private fun serve(exchange: HttpServerExchange) {
+        val method = exchange.requestMethod.toString()
+        if (method == "POST" && exchange.requestPath == "/faults") {
+            setFaults(Json.decodeFromString(exchange.bodyText()))
+            return exchange.sendJson("{}")
+        }
+        val inForce = lock.withLock { faults }
+        if (inForce.slowMs > 0) Thread.sleep(inForce.slowMs)
+        val stream = STREAM_PATH.matchEntire(exchange.requestPath)?.groupValues?.get(1)
+        when {
+            stream == null -> exchange.sendJson("{}", NOT_FOUND)
+            inForce.outage -> exchange.sendJson("{}", UNAVAILABLE)
+            method == "POST" -> append(exchange, stream)
+            else -> read(exchange, stream)
+        }
+    }
+
+    private fun append(exchange: HttpServerExchange, stream: String) {
+        val data = Json.parseToJsonElement(exchange.bodyText()).jsonObject.getValue("data").jsonPrimitive.content
+        val appended = lock.withLock { appendLocked(stream, data) }
+        when (appended.effect) {
+            Effect.ANSWERED -> exchange.sendJson("{\"offset\":${appended.offset}}")
+
+            Effect.REFUSED -> exchange.sendJson("{}", CONFLICT)
+
+            Effect.RATE_LIMITED -> {
+                exchange.responseHeaders.put(Headers.RETRY_AFTER, "1")
+                exchange.sendJson("{}", TOO_MANY)
+            }
+
+            Effect.ANSWER_LOST -> exchange.connection.close()
+        }
+    }
+
+    private fun appendLocked(stream: String, data: String): Appended {
+        if (faults.refuseAppends) return Appended(Effect.REFUSED)
+        if (isOverRate()) return Appended(Effect.RATE_LIMITED)
+        if (faults.delayAppends > 0) {
+            faults = faults.copy(delayAppends = faults.delayAppends - 1)
+            delayed += stream to data
+            return Appended(Effect.ANSWER_LOST)
+        }
+        val offset = store(stream, data)
+        if (faults.loseAnswers == 0) return Appended(Effect.ANSWERED, offset)
+        faults = faults.copy(loseAnswers = faults.loseAnswers - 1)
+        return Appended(Effect.ANSWER_LOST)
+    }
+
+    private fun isOverRate(): Boolean {
+        val limit = faults.appendsPerSecond ?: return false
+        val now = nowMs()
+        if (now - secondStartMs >= MS_PER_SECOND) {
+            secondStartMs = now
+            appendsInSecond = 0
+        }
+        return ++appendsInSecond > limit
+    }
+
+    private fun store(name: String, data: String): Long {
+        val stream = streams.getOrPut(name) { Stream() }
+        stream.records.addLast(Record(stream.endOffset++, nowMs(), data))
+        appendCount++
+        applyRetention(stream)
+        changed.signalAll()
+        return stream.endOffset - 1
+    }
+
+    private fun applyRetention(stream: Stream) {
+        faults.retentionRecords?.let { dropOldest(stream, it) }
+        val keepFromMs = nowMs() - (faults.retentionMs ?: return)
+        while (stream.records.isNotEmpty() && stream.records.first().timeMs < keepFromMs) stream.records.removeFirst()
+    }
+
+    private fun dropOldest(stream: Stream, keep: Int) {
+        while (stream.records.size > keep) stream.records.removeFirst()
+    }
+
+    private fun read(exchange: HttpServerExchange, name: String) {
+        val from = exchange.query("from")?.toLong() ?: 0
+        val max = exchange.query("max")?.toInt() ?: DEFAULT_PAGE
+        val waitMs = exchange.query("wait_ms")?.toLong() ?: 0
+        exchange.sendJson(lock.withLock { pageLocked(name, from, max, waitMs) })
+    }
+
+    private fun pageLocked(name: String, from: Long, max: Int, waitMs: Long): String {
+        var leftNanos = TimeUnit.MILLISECONDS.toNanos(waitMs)
+        while (leftNanos > 0 && (streams[name]?.endOffset ?: 0) <= from) leftNanos = changed.awaitNanos(leftNanos)
+        val stream = streams[name] ?: return "{\"earliest\":0,\"end\":0,\"records\":[]}"
+        applyRetention(stream)
+        val page = stream.records.asSequence().filter { it.offset >= from }.take(max)
+            .joinToString(",") { "{\"offset\":${it.offset},\"time_ms\":${it.timeMs},\"data\":\"${it.data}\"}" }
+        return "{\"earliest\":${stream.earliestOffset},\"end\":${stream.endOffset},\"records\":[$page]}"
+    }
+
+    override fun close() {
+        server.close()
+    }
+
+    private companion object {
+        const val WORKER_THREADS = 64
+        const val DEFAULT_PAGE = 500
+        const val MS_PER_SECOND = 1_000L
+        const val NOT_FOUND = 404
+        const val CONFLICT = 409
+        const val TOO_MANY = 429
+        const val UNAVAILABLE = 503
+        val STREAM_PATH = Regex("/streams/([A-Za-z0-9._-]+)/records")
+    }
+}
