Assemble admission, placement and the engine path of an instance

RoutingSystem binds the gate, the directory and the watcher to the rows of the peers. Each replica is polled by the one instance that rendezvous hashing assigns, so load polls grow with the replicas of a data centre and not with replicas times instances. An engine's report states its backlog by priority; without that, queued long reads would count against short requests in every estimate.

--- a/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
@@ -19,9 +19,9 @@
 import org.godwitwick.node.settings.KeyFile
 import org.godwitwick.node.settings.NodeSettings
 import org.godwitwick.node.upstream.HoldOwner
+import org.godwitwick.node.upstream.RequestIdInterceptor
 import org.godwitwick.node.upstream.UpstreamPath
 import org.godwitwick.node.upstream.rotatingSelector
-import org.godwitwick.node.upstream.RequestIdInterceptor
 import org.http4k.routing.routes
 import org.http4k.server.Http4kServer
 import org.slf4j.LoggerFactory
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/entry/RoutingSystem.kt
@@ -0,0 +1,163 @@
+package org.godwitwick.node.entry
+
+import kotlinx.serialization.builtins.ListSerializer
+import okhttp3.OkHttpClient
+import org.godwitwick.core.config.ConfigView
+import org.godwitwick.core.health.LoadReport
+import org.godwitwick.core.health.SuspicionRow
+import org.godwitwick.core.membership.Member
+import org.godwitwick.core.membership.MemberState
+import org.godwitwick.core.membership.RowTopic
+import org.godwitwick.core.membership.watcherOf
+import org.godwitwick.core.model.InstanceId
+import org.godwitwick.core.model.ListedInstance
+import org.godwitwick.core.placement.ReplicaView
+import org.godwitwick.node.control.AdmissionGate
+import org.godwitwick.node.control.ControlThread
+import org.godwitwick.node.control.DirectorySelector
+import org.godwitwick.node.control.GatePlace
+import org.godwitwick.node.control.LoadRows
+import org.godwitwick.node.control.PeerRows
+import org.godwitwick.node.control.ReplicaDirectory
+import org.godwitwick.node.control.RowCodec
+import org.godwitwick.node.control.SentRows
+import org.godwitwick.node.peer.Peer
+import org.godwitwick.node.peer.RowExchange
+import org.godwitwick.node.upstream.GenerateService
+import org.godwitwick.node.upstream.HoldOwner
+import org.godwitwick.node.upstream.OwnerDirectory
+import org.godwitwick.node.upstream.ReplicaListener
+import org.godwitwick.node.upstream.SuspicionShare
+import org.godwitwick.node.upstream.UpstreamPath
+import java.util.concurrent.ConcurrentHashMap
+import org.godwitwick.core.placement.LoadReport as PlacementReport
+
+/**
+ * Admission, placement and the path to the engines of one instance, put together and bound to the rows of its peers.
+ *
+ * @param members all members of the fleet, this instance included.
+ */
+class RoutingSystem(
+    private val self: Peer,
+    incarnation: Long,
+    client: OkHttpClient,
+    private val control: ControlThread,
+    private val listed: () -> List<ListedInstance>,
+    config: () -> ConfigView,
+    private val rows: RowExchange,
+    private val members: () -> List<Member>,
+    private val nowMs: () -> Long = System::currentTimeMillis,
+) : AutoCloseable {
+    private val directory = ReplicaDirectory(self.region, self.dataCentre)
+    private val sentRows = SentRows(directory)
+    private val selector = DirectorySelector(directory, sentRows, seed = incarnation)
+    private val gate = AdmissionGate(GatePlace(self.id, self.dataCentre, nowMs(), incarnation), control, directory, config, nowMs)
+    private val readReports = ConcurrentHashMap<InstanceId, PlacementReport>()
+    private val upstream = UpstreamPath(
+        client,
+        listed,
+        HoldOwner(self.id, incarnation.toString()),
+        share = SuspicionShare(::pushSuspicions),
+        owners = OwnerDirectory(::isGone),
+        nowMs = nowMs,
+        isAssigned = ::isAssigned,
+        loads = WatchedLoads(),
+        selectorOf = { selector },
+    )
+    private val binding = RowBinding(
+        control,
+        rows,
+        mapOf<PeerRows, RowTopic>(
+            LoadRows(directory, ::watchedReports) to RowTopic.REPLICA_LOAD,
+            sentRows to RowTopic.REPLICA_LOAD,
+            gate.demandRows to RowTopic.DEMAND,
+        ),
+        nowMs,
+    )
+
+    /** Runs admitted requests. */
+    val generate: GenerateService = AdmittedGenerateService(gate, upstream.generate, nowMs)
+
+    /** The path to the engines. */
+    val path: UpstreamPath get() = upstream
+
+    /** Starts the watcher, the exchange of rows and the periodic work of admission. */
+    fun start() {
+        control.post { rows.onRow(RowTopic.SUSPICION) { takeSuspicions(it.body) } }
+        takeList()
+        control.every(LIST_PERIOD_MS, ::onList)
+        gate.start()
+        binding.start()
+        upstream.start()
+    }
+
+    /** Forgets what became old while the process was paused; on the control thread. */
+    fun onResumed() {
+        directory.clear()
+        gate.onResumed()
+        onList()
+    }
+
+    override fun close() = upstream.close()
+
+    private fun takeList() = control.post(::onList)
+
+    private fun onList() {
+        val present = listed()
+        directory.onList(present)
+        gate.onList(present)
+        readReports.keys.retainAll(present.mapTo(HashSet()) { it.id })
+    }
+
+    // Until the first members are known, each instance watches for itself.
+    private fun isAssigned(replica: ListedInstance): Boolean {
+        if (replica.dataCentre != self.dataCentre) return false
+        return (watcherOf(replica.id, self.dataCentre, members()) ?: self.id) == self.id
+    }
+
+    private fun isGone(owner: InstanceId, incarnation: String): Boolean {
+        val known = members().firstOrNull { it.id == owner && it.state == MemberState.LIVE } ?: return false
+        return known.incarnation > (incarnation.toLongOrNull() ?: return false)
+    }
+
+    private fun watchedReports(): Map<InstanceId, PlacementReport> =
+        readReports.filterKeys { id -> listed().any { it.id == id && isAssigned(it) } }
+
+    private fun pushSuspicions(suspicions: List<SuspicionRow>) = control.post {
+        suspicions.forEach { row ->
+            val body = RowCodec.encode(ListSerializer(SuspicionRow.serializer()), listOf(row))
+            rows.publishUrgent(RowTopic.SUSPICION, row.fingerprint.toString(), body)
+        }
+    }
+
+    private fun takeSuspicions(body: ByteArray) {
+        RowCodec.decode(ListSerializer(SuspicionRow.serializer()), body)?.let(upstream.guard::onPush)
+    }
+
+    private inner class WatchedLoads : ReplicaListener {
+        override fun onLoad(replica: ListedInstance, report: LoadReport, nowMs: Long) {
+            val read = placementReport(report, nowMs)
+            readReports[replica.id] = read
+            control.post { directory.onReport(replica.id, read, nowMs) }
+        }
+
+        override fun onDeath(replica: ListedInstance, incarnation: String, nowMs: Long) {
+            readReports.remove(replica.id)
+            control.post { directory.onDead(replica.id) }
+        }
+    }
+
+    private companion object {
+        const val LIST_PERIOD_MS = 250L
+
+        fun placementReport(report: LoadReport, atMs: Long) = PlacementReport(
+            incarnation = report.incarnation,
+            atMs = atMs,
+            queuedPrefillTokens = report.queuedPrefillByPriority.ifEmpty { listOf(report.queuedPrefillTokens.toLong()) },
+            freeKvTokens = (report.kvCapacityTokens - report.kvUsedTokens).toLong(),
+            kvCapacityTokens = report.kvCapacityTokens,
+            prefillTokensPerSecond = report.prefillTokensPerSecond ?: ReplicaView.DEFAULT_PREFILL_TOKENS_PER_SECOND,
+            isLeaving = report.leaving,
+        )
+    }
+}
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/EngineCleanup.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/EngineCleanup.kt
@@ -32,7 +32,7 @@
         val failure = action().component2() ?: return
         if (number < MAX_ATTEMPTS) return attempt(number + 1, action)
         counters.lostCleanups.increment()
-        log.debug("upstream: cleanup given up: {}", failure.message)
+        log.debug("engine: cleanup given up: {}", failure.message)
     }
 
     override fun close() {
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/ReplicaWatcher.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ReplicaWatcher.kt
@@ -27,7 +27,10 @@
     fun onDeath(replica: ListedInstance, incarnation: String, nowMs: Long)
 }
 
-/** Polls load and holds of replicas and releases holds whose expiry has passed or whose owner is gone. */
+/**
+ * Polls load and holds of the replicas for which [isAssigned] holds, and releases holds whose expiry has passed or whose owner is gone.
+ * Reports of other replicas come from peers through [onReport].
+ */
 class ReplicaWatcher(
     private val engines: EngineClient,
     private val replicas: () -> List<ListedInstance>,
@@ -35,6 +38,7 @@
     private val listener: ReplicaListener,
     private val nowMs: () -> Long,
     private val periodMs: Long = 1_000,
+    private val isAssigned: (ListedInstance) -> Boolean = { true },
 ) : ReplicaKnowledge,
     AutoCloseable {
     private val timer = Executors.newSingleThreadScheduledExecutor { Thread(it, "replica-watcher").apply { isDaemon = true } }
@@ -51,14 +55,17 @@
         timer.scheduleWithFixedDelay(::pollGuarded, 0, periodMs, TimeUnit.MILLISECONDS)
     }
 
-    /** Polls all replicas once and waits for the answers, each up to [POLL_TIMEOUT_MS]. */
+    /** Polls the assigned replicas once and waits for the answers, each up to [POLL_TIMEOUT_MS]. */
     fun poll() {
-        val watched = replicas()
-        onList(watched)
-        pollers.invokeAll(watched.map { Callable { pollOne(it) } })
+        val listed = replicas()
+        onList(listed)
+        val assigned = listed.filter(isAssigned)
+        // An engine that another instance watches is judged by that instance, so a past failure here must not outlive the duty.
+        pulses.keys.retainAll(assigned.mapTo(HashSet()) { it.id })
+        pollers.invokeAll(assigned.map { Callable { pollOne(it) } })
     }
 
-    /** Takes over the list's rows; [poll] does so with the watched ones. */
+    /** Takes over the list's rows; [poll] does so with all of them. */
     fun onList(rows: List<ListedInstance>) {
         listedById = rows.associateBy { it.id }
         pulses.keys.retainAll(listedById.keys)
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/UpstreamPath.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/UpstreamPath.kt
@@ -11,6 +11,7 @@
  *
  * @property client closes connections after the stall timeout and never retries by itself.
  * @property listed rows of the instance list.
+ * @property loads learns the loads and deaths that the watcher sees, or null.
  */
 class UpstreamPath(
     client: OkHttpClient,
@@ -20,6 +21,8 @@
     owners: OwnerDirectory? = null,
     private val nowMs: () -> Long = System::currentTimeMillis,
     watchPeriodMs: Long = 1_000,
+    isAssigned: (ListedInstance) -> Boolean = { true },
+    private val loads: ReplicaListener? = null,
     selectorOf: (ReplicaKnowledge) -> ReplicaSelector,
 ) : AutoCloseable {
     /** Counters of this path. */
@@ -39,6 +42,7 @@
         DeathsToGuard(),
         nowMs,
         watchPeriodMs,
+        isAssigned,
     )
 
     /** The service that runs requests. */
@@ -62,10 +66,14 @@
     }
 
     private inner class DeathsToGuard : ReplicaListener {
-        override fun onLoad(replica: ListedInstance, report: LoadReport, nowMs: Long) = Unit
+        override fun onLoad(replica: ListedInstance, report: LoadReport, nowMs: Long) {
+            loads?.onLoad(replica, report, nowMs)
+        }
 
-        override fun onDeath(replica: ListedInstance, incarnation: String, nowMs: Long) =
+        override fun onDeath(replica: ListedInstance, incarnation: String, nowMs: Long) {
             guard.onOtherDeath(EngineDeath(replica.id, incarnation, replica.dataCentre, replica.rack, nowMs))
+            loads?.onDeath(replica, incarnation, nowMs)
+        }
     }
 }
 
--- a/standins/src/main/kotlin/org/godwitwick/standins/engine/EngineMessages.kt
+++ b/standins/src/main/kotlin/org/godwitwick/standins/engine/EngineMessages.kt
@@ -43,6 +43,8 @@
 internal data class LoadMessage(
     val incarnation: String,
     @SerialName("queued_prefill_tokens") val queuedPrefillTokens: Int,
+    @SerialName("queued_prefill_by_priority") val queuedPrefillByPriority: List<Long>,
+    @SerialName("prefill_tokens_per_second") val prefillTokensPerSecond: Double,
     val running: Int,
     @SerialName("kv_used") val kvUsed: Int,
     @SerialName("kv_capacity") val kvCapacity: Int,
--- a/standins/src/main/kotlin/org/godwitwick/standins/engine/EngineProcess.kt
+++ b/standins/src/main/kotlin/org/godwitwick/standins/engine/EngineProcess.kt
@@ -266,6 +266,8 @@
     private fun presentLoad() = LoadMessage(
         incarnation,
         scheduler.queuedPrefillTokens,
+        scheduler.queuedPrefillByPriority(),
+        scheduler.prefillTokensPerSecond,
         scheduler.running,
         scheduler.memory.usedTokens,
         scheduler.memory.capacityTokens,
--- a/standins/src/main/kotlin/org/godwitwick/standins/engine/EngineScheduler.kt
+++ b/standins/src/main/kotlin/org/godwitwick/standins/engine/EngineScheduler.kt
@@ -65,6 +65,16 @@
     /** Tokens that are still to be prefilled. */
     val queuedPrefillTokens: Int get() = waiting.sumOf { it.remainingPrefill }
 
+    /** Prefill speed in real time, which is what a load report states. */
+    val prefillTokensPerSecond: Double get() = spec.prefillTokensPerSecond * spec.timeScale
+
+    /** Prefill tokens that wait, by priority from 0 on. */
+    fun queuedPrefillByPriority(): List<Long> {
+        val byPriority = LongArray((waiting.maxOfOrNull { it.priority } ?: 0) + 1)
+        waiting.forEach { byPriority[it.priority.coerceAtLeast(0)] += it.remainingPrefill.toLong() }
+        return byPriority.toList()
+    }
+
     /** Requests that are admitted and not ended. */
     val running: Int get() = byId.size
 
