Run the fleet as separate processes and test its faults

Cause: every test ran in one process, so signals, exit codes, killed and frozen processes and silent connections were not tried.

- standins run FILE starts a set of stand-ins in one process and prints one line with their addresses; a sub-command for each kind starts a single one.
A weight store stand-in is new.

--- /dev/null
+++ b/lab/src/main/kotlin/org/godwitwick/lab/process/LabClient.kt
@@ -0,0 +1,117 @@
+package org.godwitwick.lab.process
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import okhttp3.MediaType.Companion.toMediaType
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
+import java.io.IOException
+import java.util.concurrent.TimeUnit
+
+/**
+ * What a caller saw of one streamed request. Times are on the scale of [System.nanoTime].
+ *
+ * @property status HTTP status, 0 when no answer came.
+ * @property events `data:` lines of the answer.
+ * @property broke why the body ended early, null when it ended regularly.
+ */
+data class StreamResult(
+    val status: Int,
+    val requestId: String?,
+    val events: List<String>,
+    val sentNanos: Long,
+    val firstTokenNanos: Long?,
+    val endNanos: Long,
+    val broke: String? = null,
+) {
+    /** Whether the whole answer arrived. */
+    val isComplete: Boolean get() = status == 200 && broke == null && events.lastOrNull() == "[DONE]"
+
+    /** Tokens that arrived. */
+    val tokens: Int get() = events.count { "\"choices\"" in it }
+
+    /** Milliseconds from the request to the end of the answer. */
+    val elapsedMs: Long get() = (endNanos - sentNanos) / 1_000_000
+}
+
+/** A caller of entry instances. */
+object LabClient {
+    private const val CALL_TIMEOUT_MS = 30_000L
+    private const val DATA_PREFIX = "data: "
+    private val jsonType = "application/json".toMediaType()
+    private val client = OkHttpClient.Builder()
+        .retryOnConnectionFailure(false)
+        .callTimeout(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+        .readTimeout(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+        .build()
+
+    /** Status of `GET path`, 0 when there is no answer. */
+    fun status(address: String, path: String): Int = try {
+        client.newCall(Request.Builder().url("http://$address$path").build()).execute().use { it.code }
+    } catch (_: IOException) {
+        0
+    }
+
+    /** Body of `GET path`. */
+    fun text(address: String, path: String): String =
+        client.newCall(Request.Builder().url("http://$address$path").build()).execute().use { it.body.string() }
+
+    /** Replaces the rows of the instance list stand-in. */
+    fun putList(address: String, rows: List<JsonObject>) {
+        val body = "{\"instances\":$rows}".toRequestBody(jsonType)
+        client.newCall(Request.Builder().url("http://$address/instances").put(body).build()).execute().use {
+            check(it.isSuccessful)
+        }
+    }
+
+    /**
+     * Sends a streamed completion and reads it to its end; [onToken] is called after each token. Never throws for a failed answer.
+     */
+    fun stream(
+        address: String,
+        prompt: String,
+        maxTokens: Int,
+        timeoutMs: Long? = null,
+        model: String = "menu",
+        key: String = ProcessFleet.CALLER_KEY,
+        onToken: () -> Unit = {},
+    ): StreamResult {
+        val body = buildJsonObject {
+            put("model", model)
+            put("prompt", prompt)
+            put("max_tokens", maxTokens)
+            put("stream", true)
+        }
+        val request = Request.Builder()
+            .url("http://$address/v1/completions")
+            .header("Authorization", "Bearer $key")
+            .apply { if (timeoutMs != null) header("Request-Timeout-Ms", timeoutMs.toString()) }
+            .post(body.toString().toRequestBody(jsonType))
+            .build()
+        return read(request, onToken)
+    }
+
+    private fun read(request: Request, onToken: () -> Unit): StreamResult {
+        val sent = System.nanoTime()
+        var seen = StreamResult(0, null, emptyList(), sent, null, sent)
+        return try {
+            client.newCall(request).execute().use { response ->
+                seen = seen.copy(status = response.code, requestId = response.header("Request-Id"))
+                val source = response.body.source()
+                while (true) {
+                    val line = source.readUtf8Line() ?: break
+                    if (response.code != 200) seen = seen.copy(events = seen.events + line)
+                    if (!line.startsWith(DATA_PREFIX)) continue
+                    val first = seen.firstTokenNanos ?: System.nanoTime()
+                    seen = seen.copy(events = seen.events + line.removePrefix(DATA_PREFIX), firstTokenNanos = first)
+                    onToken()
+                }
+                seen.copy(endNanos = System.nanoTime())
+            }
+        } catch (e: IOException) {
+            seen.copy(endNanos = System.nanoTime(), broke = e.toString())
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/godwitwick/standins/run/Main.kt
@@ -0,0 +1,86 @@
+package org.godwitwick.standins.run
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.decodeFromJsonElement
+import kotlinx.serialization.json.jsonObject
+import picocli.CommandLine
+import picocli.CommandLine.Command
+import picocli.CommandLine.Parameters
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.Callable
+import java.util.concurrent.CountDownLatch
+import kotlin.system.exitProcess
+
+/** Stand-ins of the outside systems, for tests and trials. */
+@Command(
+    name = "standins",
+    mixinStandardHelpOptions = true,
+    description = ["Runs stand-ins of the outside systems on the loopback address."],
+    subcommands = [RunCommand::class],
+)
+class StandinsCommand
+
+/** Runs a whole set in one process. */
+@Command(
+    name = "run",
+    mixinStandardHelpOptions = true,
+    description = ["Runs the stand-ins of a set file until it is terminated."],
+)
+class RunCommand : Callable<Int> {
+    @Parameters(index = "0", paramLabel = "FILE", description = ["Set file: {\"standins\":[{\"kind\":\"engine\",...},...]}."])
+    lateinit var file: Path
+
+    override fun call(): Int = runUntilTerminated(standinJson.decodeFromString<StandinSet>(Files.readString(file)))
+}
+
+/** Runs one stand-in of the kind that the sub-command names. */
+@Command(mixinStandardHelpOptions = true, description = ["Runs one stand-in until it is terminated."])
+class SingleCommand(private val kind: String) : Callable<Int> {
+    @Parameters(
+        index = "0",
+        paramLabel = "JSON",
+        defaultValue = "{}",
+        description = ["Settings as a JSON object, as in a set file."],
+    )
+    lateinit var json: String
+
+    override fun call(): Int {
+        val fields = standinJson.parseToJsonElement(json).jsonObject
+        val spec = JsonObject(fields + ("kind" to JsonPrimitive(kind)))
+        return runUntilTerminated(StandinSet(listOf(standinJson.decodeFromJsonElement<StandinSpec>(spec))))
+    }
+}
+
+/** Kinds of stand-ins with a sub-command each; the settings are the classes of [StandinSpec]. */
+private val singleKinds = listOf(
+    "engine",
+    "list",
+    "weights",
+)
+
+@OptIn(ExperimentalSerializationApi::class)
+private val standinJson = Json {
+    classDiscriminator = "kind"
+    allowComments = true
+    allowTrailingComma = true
+}
+
+/** Runs the command line. */
+fun main(args: Array<String>) {
+    System.setProperty("logback.configurationFile", "logback-standins.xml")
+    val commandLine = CommandLine(StandinsCommand())
+    singleKinds.forEach { commandLine.addSubcommand(it, SingleCommand(it)) }
+    exitProcess(commandLine.execute(*args))
+}
+
+private fun runUntilTerminated(set: StandinSet): Int {
+    RunningSet(set).use {
+        println(it.readyLine)
+        CountDownLatch(1).await()
+    }
+    return 0
+}
