Access the platform's log over HTTP, writing each call at most once

A claimant has to know whether an append may have taken effect. The adapter reports NotDone only when no byte was written or the log answered a 4xx; a 5xx may come from a part that failed after the append and is Unknown.

The node tests use the stand-ins as a test dependency.

--- /dev/null
+++ b/node/src/test/kotlin/org/godwitwick/node/platform/HttpPlatformLogTest.kt
@@ -0,0 +1,73 @@
+package org.godwitwick.node.platform
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
+import org.godwitwick.standins.log.FakeLog
+import org.godwitwick.standins.log.LogFaults
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+
+class HttpPlatformLogTest {
+    private val client = OkHttpClient()
+
+    private fun withLog(action: (FakeLog, HttpPlatformLog) -> Unit) = FakeLog(0, nowMs = { 7 }).use { fake ->
+        action(fake, HttpPlatformLog(client, "http://${fake.address}", readTimeoutMs = 5_000))
+    }
+
+    private fun HttpPlatformLog.append(text: String) = append("claims-x-1", text.toByteArray(), 5_000)
+
+    /** Guards against content, offsets or times that change on the way. */
+    @Test
+    fun `records come back as they were appended`() = withLog { fake, log ->
+        expectThat(listOf(log.append("a").get(), log.append("b").get())).isEqualTo(listOf(0L, 1L))
+        val page = checkNotNull(log.read("claims-x-1", 1, 10, 0).get())
+        expectThat(page.endOffset to page.earliestOffset).isEqualTo(2L to 0L)
+        expectThat(
+            page.records.map {
+                Triple(it.offset, it.timeMs, it.data.decodeToString())
+            },
+        ).isEqualTo(listOf(Triple(1L, 7L, "b")))
+        fake.dropAllBut(1)
+        expectThat(log.read("claims-x-1", 0, 10, 0).get()?.earliestOffset).isEqualTo(1L)
+    }
+
+    /** Guards against an append that is taken for undone although it took effect, and against a repeat inside the adapter. */
+    @Test
+    fun `a lost answer and a server error are unknown and the append is sent once`() = withLog { fake, log ->
+        fake.setFaults(LogFaults(loseAnswers = 1))
+        expectThat(log.append("a").getError()).isA<LogFailure.Unknown>()
+        expectThat(fake.appends).isEqualTo(1)
+        fake.setFaults(LogFaults(outage = true))
+        expectThat(log.append("b").getError()).isA<LogFailure.Unknown>()
+        fake.setFaults(LogFaults(delayAppends = 1))
+        expectThat(log.append("c").getError()).isA<LogFailure.Unknown>()
+        expectThat(fake.appends to fake.delayedAppends).isEqualTo(1L to 1)
+    }
+
+    /** Guards against a claim that is taken for possibly appended although the log refused it. */
+    @Test
+    fun `a refusal, a rate limit and a refused connection are not done`() = withLog { fake, log ->
+        fake.setFaults(LogFaults(refuseAppends = true))
+        expectThat(log.append("a").getError()).isA<LogFailure.NotDone>()
+        fake.setFaults(LogFaults(appendsPerSecond = 0))
+        expectThat(log.append("a").getError()).isEqualTo(LogFailure.NotDone("log answered status 429", 1_000))
+        val unreachable = HttpPlatformLog(client, "http://127.0.0.1:1")
+        expectThat(unreachable.append("a").getError()).isA<LogFailure.NotDone>()
+        expectThat(fake.appends).isEqualTo(0)
+    }
+
+    /** Guards against a fault switch that processes can't use. */
+    @Test
+    fun `faults are switched on over HTTP`() = withLog { fake, log ->
+        val request = Request.Builder().url(
+            "http://${fake.address}/faults",
+        ).post("""{"refuseAppends":true}""".toRequestBody()).build()
+        client.newCall(request).execute().close()
+        expectThat(log.append("a").getError()).isA<LogFailure.NotDone>()
+    }
+}
