Serve calls to plain services, those that may not be repeated at most once

Claims go to the owner of the shard, which appends them in batches with one append in flight; a claimant whose owner can't be reached appends and reads the shard by itself under the same claim id. A claim is dispatched on a new connection, after a last check of the grant's age on the established connection. A claim that was given up is voided by a NotRun entry, which is kept while the log is down.

An owner answers for a held key from its index after reading to the end, so repeats don't grow the log. Bodies of outcomes stay in the log, since those of a whole window would not fit into memory. Owned shards get an empty record every quarter of the window: without it a quiet shard whose records the log dropped could not be told from one with lost claims.

--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/claim/ClaimService.kt
@@ -0,0 +1,174 @@
+package org.godwitwick.node.claim
+
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
+import org.godwitwick.core.claim.Claim
+import org.godwitwick.core.claim.ClaimDecision
+import org.godwitwick.core.claim.ClaimEntry
+import org.godwitwick.core.claim.ClaimKey
+import org.godwitwick.core.claim.ClaimLimits
+import org.godwitwick.core.claim.ClaimRecordCodec
+import org.godwitwick.core.claim.Outcome
+import org.godwitwick.core.claim.OutcomeEntry
+import org.godwitwick.core.model.InstanceId
+import org.godwitwick.node.peer.ClaimAnswer
+import org.godwitwick.node.peer.ClaimReport
+import org.godwitwick.node.peer.ClaimReportAnswer
+import org.godwitwick.node.peer.ClaimRequest
+import org.godwitwick.node.peer.ClaimRuling
+import org.godwitwick.node.peer.PeerFailure
+import org.godwitwick.node.peer.PeerMessage
+import org.godwitwick.node.peer.PeerNetwork
+import org.godwitwick.node.platform.PlatformLog
+import org.slf4j.LoggerFactory
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
+
+/**
+ * Claims keys through the owners of their shards, and serves other instances for the shards that this one owns. An instance acts by
+ * itself when the owner can't be reached, since the order in the log decides, not the owner.
+ *
+ * @property self id of this instance.
+ * @property region region of this instance.
+ * @property homeRegion region in which the instance list shows a service, or null.
+ * @property services names of the services that have routes to be run once.
+ */
+class ClaimService(
+    private val self: InstanceId,
+    private val region: String,
+    private val log: PlatformLog,
+    private val peers: PeerNetwork,
+    private val homeRegion: (String) -> String?,
+    private val services: () -> Set<String>,
+    private val limits: () -> ClaimLimits,
+    private val settings: ClaimSettings,
+    private val nowMs: () -> Long,
+) : ClaimClient,
+    AutoCloseable {
+    private val workers = ClaimWorkers()
+    private val shards = ConcurrentHashMap<String, ClaimShard>()
+
+    init {
+        peers.handle(ClaimRequest::class.java) { _, request ->
+            ClaimAnswer(request.claim.claimId, rule(request.claim, request.timeoutMs))
+        }
+        peers.handle(ClaimReport::class.java, ::serveReport)
+    }
+
+    /** Entries of claim streams that wait for the log. */
+    val waiting: Int get() = shards.values.sumOf { it.waiting }
+
+    /** Starts the maintenance of owned shards. */
+    fun start() {
+        workers.every(settings.keepAliveCheckMs, ::maintain)
+        workers.execute(::maintain)
+    }
+
+    override fun claim(claim: Claim, timeoutMs: Long): ClaimRuling {
+        val startedMs = nowMs()
+        val owner = ownerOf(claim.key) ?: return rule(claim, timeoutMs)
+        val ownerTimeoutMs = minOf(settings.ownerTimeoutMs, timeoutMs)
+        val request = ClaimRequest(claim, ownerTimeoutMs * OWNER_PERCENT / PERCENT)
+        val isSent = peers.request(owner, request, ownerTimeoutMs).fold(
+            { answer -> if (answer is ClaimAnswer && answer.claimId == claim.claimId) return answer.ruling else true },
+            { it !is PeerFailure.NotSent },
+        )
+        LOG.warn("claim: owner {} did not answer, appending directly", owner)
+        val ruling = rule(claim, (timeoutMs - (nowMs() - startedMs)).coerceAtLeast(0))
+        // The owner may still append what it was sent.
+        return if (ruling is ClaimRuling.LogUnavailable && isSent) ruling.copy(mayBeAppended = true) else ruling
+    }
+
+    override fun report(entry: ClaimEntry) = workers.report {
+        val owner = ownerOf(entry.key)
+        if (owner == null || !isAppendedBy(owner, entry)) shardOf(entry.key).report(entry)
+    }
+
+    /** Keeps owned shards from running empty and drops unused ones. */
+    fun maintain() {
+        val owned = services().flatMap { service ->
+            (0 until settings.shards.count).map {
+                settings.shards.streamOf(service, it) to
+                    service
+            }
+        }
+            .filter { (stream, service) -> ownerOf(stream, service) == null }
+            .map { it.first }
+        owned.forEach { shard(it).keepAlive() }
+        val idleSinceMs = nowMs() - settings.idleShardMs
+        shards.entries.removeIf { (stream, shard) -> stream !in owned && shard.isIdleSince(idleSinceMs) }
+    }
+
+    private fun isAppendedBy(owner: InstanceId, entry: ClaimEntry): Boolean {
+        val report = ClaimReport(entry, settings.ownerTimeoutMs * OWNER_PERCENT / PERCENT)
+        return peers.request(owner, report, settings.ownerTimeoutMs).fold(
+            { it is ClaimReportAnswer && it.claimId == entry.claimId && it.isAppended },
+            { false },
+        )
+    }
+
+    private fun serveReport(from: InstanceId, report: ClaimReport): PeerMessage {
+        LOG.debug("claim: {} reports the end of claim {}", from, report.entry.claimId)
+        val isAppended = try {
+            shardOf(report.entry.key).report(report.entry).get(report.timeoutMs, TimeUnit.MILLISECONDS)
+            true
+        } catch (_: TimeoutException) {
+            false
+        }
+        return ClaimReportAnswer(report.entry.claimId, isAppended)
+    }
+
+    private fun rule(claim: Claim, timeoutMs: Long): ClaimRuling =
+        when (val decision = shardOf(claim.key).claim(claim, timeoutMs)) {
+            is ClaimDecision.Granted -> ClaimRuling.Granted(decision.fencingNumber)
+            is ClaimDecision.Replay -> outcomeOf(claim.key, decision)?.let(ClaimRuling::Replay) ?: ClaimRuling.OutcomeUnknown
+            is ClaimDecision.Pending -> if (mayStillEnd(decision)) ClaimRuling.Pending else ClaimRuling.OutcomeUnknown
+            ClaimDecision.Freed -> ClaimRuling.Pending
+            ClaimDecision.OutcomeUnknown -> ClaimRuling.OutcomeUnknown
+            ClaimDecision.Mismatch -> ClaimRuling.Mismatch
+            ClaimDecision.Expired -> ClaimRuling.Expired
+            ClaimDecision.FromFuture -> ClaimRuling.FromFuture
+            is ClaimDecision.LogUnavailable -> ClaimRuling.LogUnavailable(decision.message, decision.mayBeAppended)
+        }
+
+    // Bodies of outcomes stay in the log, since those of a whole claim window would not fit into an instance's memory.
+    private fun outcomeOf(key: ClaimKey, replay: ClaimDecision.Replay): Outcome? {
+        val page = log.read(settings.shards.streamOf(key), replay.outcomeOffset, 1, 0).getOrElse { return null }
+        val record = page.records.firstOrNull()?.takeIf { it.offset == replay.outcomeOffset } ?: return null
+        return ClaimRecordCodec.decode(record.data).orEmpty().filterIsInstance<OutcomeEntry>()
+            .firstOrNull { it.claimId == replay.outcomeClaimId && it.key == key }?.outcome
+    }
+
+    private fun mayStillEnd(pending: ClaimDecision.Pending): Boolean = nowMs() <= pending.expectedByMs + CLOCK_SLACK_MS &&
+        (pending.claimant == self || peers.livePeers().any { it.id == pending.claimant })
+
+    private fun shardOf(key: ClaimKey): ClaimShard = shard(settings.shards.streamOf(key))
+
+    private fun shard(stream: String): ClaimShard =
+        shards.computeIfAbsent(stream) { ClaimShard(it, log, settings, limits, workers, nowMs) }
+
+    /** The other instance that owns the shard of [key], or null when this one is to act. */
+    private fun ownerOf(key: ClaimKey): InstanceId? = ownerOf(settings.shards.streamOf(key), key.service)
+
+    private fun ownerOf(stream: String, service: String): InstanceId? {
+        val home = homeRegion(service)
+        val candidates =
+            peers.livePeers().filter { it.region == home }.map { it.id } + if (region == home) listOf(self) else emptyList()
+        return settings.shards.ownerOf(stream, candidates)?.takeIf { it != self }
+    }
+
+    override fun close() {
+        workers.close()
+    }
+
+    private companion object {
+        // The owner gets less time than the request to it, so that its answer arrives before the request times out.
+        const val OWNER_PERCENT = 80
+        const val PERCENT = 100
+
+        // Bound of the difference between this instance's clock and the log's clock, for wording an answer only.
+        const val CLOCK_SLACK_MS = 5_000L
+        val LOG = LoggerFactory.getLogger(ClaimService::class.java)
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/claim/ClaimWorkers.kt
@@ -0,0 +1,63 @@
+package org.godwitwick.node.claim
+
+import java.util.concurrent.Executors
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.RejectedExecutionException
+import java.util.concurrent.ThreadFactory
+import java.util.concurrent.ThreadPoolExecutor
+import java.util.concurrent.TimeUnit
+
+/** Threads of the claim path. Log calls block, so they run apart from the control thread. */
+class ClaimWorkers : AutoCloseable {
+    private val threads = ThreadFactory { Thread(it, "claims").apply { isDaemon = true } }
+
+    // A shard occupies a thread only while it has work; there are never more steps than shards.
+    private val steps = Executors.newCachedThreadPool(threads)
+    private val reports = ThreadPoolExecutor(
+        REPORT_THREADS,
+        REPORT_THREADS,
+        IDLE_SECONDS,
+        TimeUnit.SECONDS,
+        LinkedBlockingQueue(),
+        threads,
+    )
+        .apply { allowCoreThreadTimeOut(true) }
+    private val timer = Executors.newSingleThreadScheduledExecutor(threads)
+
+    /** Runs [step] soon. */
+    fun execute(step: () -> Unit) = ignoreClosed { steps.execute(step) }
+
+    /** Runs [step] after [delayMs]. */
+    fun schedule(delayMs: Long, step: () -> Unit) =
+        ignoreClosed { timer.schedule({ execute(step) }, delayMs, TimeUnit.MILLISECONDS) }
+
+    /** Runs [task] every [periodMs]. */
+    fun every(periodMs: Long, task: () -> Unit) =
+        ignoreClosed { timer.scheduleWithFixedDelay({ execute(task) }, periodMs, periodMs, TimeUnit.MILLISECONDS) }
+
+    /** Sends a report; a peer that doesn't answer holds one of a few threads. */
+    fun report(task: () -> Unit) = ignoreClosed { reports.execute(task) }
+
+    private fun ignoreClosed(action: () -> Unit) {
+        try {
+            action()
+        } catch (_: RejectedExecutionException) {
+            return
+        }
+    }
+
+    /** Sends the reports that wait, for at most [CLOSE_MS], and ends all threads. */
+    override fun close() {
+        reports.shutdown()
+        reports.awaitTermination(CLOSE_MS, TimeUnit.MILLISECONDS)
+        timer.shutdownNow()
+        steps.shutdown()
+        if (!steps.awaitTermination(CLOSE_MS, TimeUnit.MILLISECONDS)) steps.shutdownNow()
+    }
+
+    private companion object {
+        const val REPORT_THREADS = 32
+        const val IDLE_SECONDS = 10L
+        const val CLOSE_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/claim/OnceCaller.kt
@@ -0,0 +1,157 @@
+package org.godwitwick.node.claim
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import org.godwitwick.core.claim.Claim
+import org.godwitwick.core.claim.ClaimEntry
+import org.godwitwick.core.claim.ClaimId
+import org.godwitwick.core.claim.ClaimKey
+import org.godwitwick.core.claim.Claimant
+import org.godwitwick.core.claim.ClaimantState
+import org.godwitwick.core.claim.MAX_RECORDED_BODY_BYTES
+import org.godwitwick.core.claim.NotRunEntry
+import org.godwitwick.core.claim.Outcome
+import org.godwitwick.core.claim.OutcomeEntry
+import org.godwitwick.core.claim.OutcomeHeader
+import org.godwitwick.core.claim.UnknownEntry
+import org.godwitwick.core.claim.keyExpired
+import org.godwitwick.core.claim.keyFromFuture
+import org.godwitwick.core.error.ErrorKind
+import org.godwitwick.core.error.Failure
+import org.godwitwick.core.error.Ran
+import org.godwitwick.core.model.Deadline
+import org.godwitwick.core.model.InstanceId
+import org.godwitwick.node.peer.ClaimRuling
+import org.godwitwick.node.upstream.ServiceAnswer
+import org.godwitwick.node.upstream.ServiceCall
+import org.godwitwick.node.upstream.ServiceClient
+import org.godwitwick.node.upstream.WriteGate
+import java.util.UUID
+
+/** Runs non-idempotent calls at most once: claim, one dispatch, report. */
+class OnceCaller(
+    private val self: InstanceId,
+    private val claims: ClaimClient,
+    private val client: ServiceClient,
+    private val settings: ClaimSettings,
+    private val nowMs: () -> Long,
+) {
+    /** Runs [call] under [key]; [pickAddress] chooses the service replica, or null when there is none. */
+    fun run(
+        call: ServiceCall,
+        key: ClaimKey,
+        bodyHash: String,
+        deadline: Deadline,
+        pickAddress: () -> String?,
+    ): Result<ServiceAnswer, Failure> {
+        val startedMs = nowMs()
+        val claim = Claim(ClaimId(UUID.randomUUID().toString()), key, bodyHash, self, deadline.remainingMs(startedMs))
+        return when (val ruling = rulingOf(claim, minOf(settings.claimTimeoutMs, claim.timeoutMs))) {
+            is ClaimRuling.Granted -> {
+                val claimant = Claimant(minOf(startedMs + settings.dispatchWindowMs, deadline.atMs))
+                dispatch(call, claim, ruling.fencingNumber, claimant, deadline, pickAddress)
+            }
+
+            is ClaimRuling.Replay -> replay(ruling.outcome)
+
+            ClaimRuling.Pending -> Err(Failure(ErrorKind.OUTCOME_PENDING, "a call with this key is running"))
+
+            ClaimRuling.OutcomeUnknown ->
+                Err(Failure(ErrorKind.OUTCOME_UNKNOWN, "a call with this key was dispatched and its answer was lost"))
+
+            ClaimRuling.Mismatch -> Err(Failure(ErrorKind.KEY_REUSED, "the Idempotency-Key was used for another call"))
+
+            ClaimRuling.Expired -> Err(keyExpired)
+
+            ClaimRuling.FromFuture -> Err(keyFromFuture)
+
+            is ClaimRuling.LogUnavailable -> giveUp(claim, ruling)
+        }
+    }
+
+    // A claim that fails unexpectedly may be in the log all the same.
+    private fun rulingOf(claim: Claim, timeoutMs: Long): ClaimRuling = try {
+        claims.claim(claim, timeoutMs)
+    } catch (e: RuntimeException) {
+        ClaimRuling.LogUnavailable("the claim failed: ${e.message}", mayBeAppended = true)
+    }
+
+    private fun giveUp(claim: Claim, ruling: ClaimRuling.LogUnavailable): Result<ServiceAnswer, Failure> {
+        if (ruling.mayBeAppended) claims.report(NotRunEntry(claim.claimId, claim.key))
+        return Err(Failure(ErrorKind.LOG_UNAVAILABLE, "this request was not run: ${ruling.message}"))
+    }
+
+    private fun dispatch(
+        call: ServiceCall,
+        claim: Claim,
+        fencingNumber: Long,
+        claimant: Claimant,
+        deadline: Deadline,
+        pickAddress: () -> String?,
+    ): Result<ServiceAnswer, Failure> {
+        val address = pickAddress()
+        if (address == null) {
+            claims.report(endOf(claim, claimant.fail()))
+            return Err(Failure(ErrorKind.NO_UPSTREAM, "no live replica of service ${claim.key.service}"))
+        }
+        val fenced = call.withHeader(ServiceClient.FENCING_NUMBER, fencingNumber.toString())
+        val gate = WriteGate { claimant.startDispatch(nowMs()) }
+        return client.sendOnce(address, fenced, gate, deadline.remainingMs(nowMs())).fold(
+            { answer ->
+                claims.report(endOf(claim, claimant.complete(outcomeOf(answer))))
+                if (answer.body == null) Err(answerTooLarge) else Ok(answer)
+            },
+            { message ->
+                val end = claimant.fail()
+                claims.report(endOf(claim, end))
+                Err(failureOf(end, message, deadline))
+            },
+        )
+    }
+
+    private fun endOf(claim: Claim, state: ClaimantState): ClaimEntry = when (state) {
+        is ClaimantState.Done -> OutcomeEntry(claim.claimId, claim.key, state.outcome)
+        ClaimantState.NotRun -> NotRunEntry(claim.claimId, claim.key)
+        ClaimantState.Claimed, ClaimantState.Dispatching, ClaimantState.Unknown -> UnknownEntry(claim.claimId, claim.key)
+    }
+
+    private fun failureOf(end: ClaimantState, message: String, deadline: Deadline): Failure = when {
+        end != ClaimantState.NotRun -> Failure(ErrorKind.OUTCOME_UNKNOWN, message)
+        deadline.isPast(nowMs()) -> Failure(ErrorKind.DEADLINE_EXCEEDED, "the deadline passed before the call was sent", Ran.NO)
+        else -> Failure(ErrorKind.UPSTREAM_FAILED, message, Ran.NO)
+    }
+
+    private fun outcomeOf(answer: ServiceAnswer) = Outcome(
+        answer.status,
+        answer.headers.filter { it.first.lowercase() in RECORDED_HEADERS }.map { OutcomeHeader(it.first, it.second) },
+        answer.body?.takeIf { it.size <= MAX_RECORDED_BODY_BYTES },
+    )
+
+    private fun replay(outcome: Outcome): Result<ServiceAnswer, Failure> {
+        val body = outcome.body ?: return Err(answerNotRecorded)
+        val headers = outcome.headers.map { it.name to it.value } + (REPLAYED_HEADER to "true")
+        return Ok(ServiceAnswer(outcome.status, headers, body))
+    }
+
+    private fun ServiceCall.withHeader(name: String, value: String) = ServiceCall(
+        id,
+        method,
+        path,
+        query,
+        headers + (name to value),
+        body,
+    )
+
+    private companion object {
+        const val REPLAYED_HEADER = "Idempotency-Replayed"
+        val RECORDED_HEADERS = setOf("content-type", "location")
+        val answerTooLarge = Failure(ErrorKind.UPSTREAM_FAILED, "the call ran, but its answer is larger than the limit", Ran.YES)
+        val answerNotRecorded = Failure(
+            ErrorKind.CONFLICT,
+            "a call with this key ran; its answer was larger than $MAX_RECORDED_BODY_BYTES bytes and was not recorded",
+            Ran.YES,
+        )
+    }
+}
--- a/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
@@ -3,10 +3,12 @@
 import okhttp3.ConnectionPool
 import okhttp3.Dispatcher
 import okhttp3.OkHttpClient
+import org.godwitwick.core.config.BuiltInConfig
 import org.godwitwick.core.model.ClassBounds
 import org.godwitwick.node.control.ControlThread
 import org.godwitwick.node.http.CallerRoutes
 import org.godwitwick.node.http.StreamingUndertow
+import org.godwitwick.node.peer.NoPeers
 import org.godwitwick.node.platform.HttpInstanceList
 import org.godwitwick.node.platform.ListPoller
 import org.godwitwick.node.security.KeyRing
@@ -28,15 +30,25 @@
     private val control = ControlThread()
     private val client = upstreamClient(settings)
     private val list = ListPoller(HttpInstanceList(client, settings.instanceListUrl), settings.listPollMs)
+    private val keyRing = KeyRing(keyFile.keys)
     private val callers = CallerRoutes(
-        keys = KeyRing(keyFile.keys),
+        keys = keyRing,
         generate = FirstReplicaService(EngineClient(client), list::instances, System::currentTimeMillis),
         bounds = { ClassBounds() },
         defaultTimeoutMs = settings.defaultTimeoutMs,
         nowMs = System::currentTimeMillis,
     )
+    private val services = ServiceParts(
+        settings,
+        keyRing,
+        client,
+        peers = NoPeers(),
+        config = { BuiltInConfig },
+        listed = list::instances,
+        nowMs = System::currentTimeMillis,
+    )
     private val server: Http4kServer = StreamingUndertow(settings.host, settings.httpPort, settings.workerThreads)
-        .toServer(routes(callers.routes(), operationRoutes()))
+        .toServer(routes(callers.routes(), services.routes(), operationRoutes()))
 
     /** Port on which callers are served. */
     val httpPort: Int get() = server.port()
@@ -44,6 +56,7 @@
     /** Starts all parts and serves callers. */
     fun start() {
         list.start()
+        services.start()
         server.start()
         log.info("node: instance {} serves callers on port {}", settings.instanceId, httpPort)
     }
@@ -55,6 +68,7 @@
 
     override fun close() {
         server.stop()
+        services.close()
         list.close()
         control.close()
         log.info("node: instance {} stopped", settings.instanceId)
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ServiceClient.kt
@@ -0,0 +1,137 @@
+package org.godwitwick.node.upstream
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import okhttp3.Call
+import okhttp3.ConnectionPool
+import okhttp3.HttpUrl.Companion.toHttpUrl
+import okhttp3.OkHttpClient
+import okhttp3.Protocol
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
+import okhttp3.Response
+import org.godwitwick.core.model.RequestId
+import org.slf4j.LoggerFactory
+import java.io.IOException
+import java.util.concurrent.TimeUnit
+
+/**
+ * A call to a plain service.
+ *
+ * @property path path behind the service's name, with a leading slash, decoded.
+ * @property query raw query, empty for none.
+ */
+class ServiceCall(
+    val id: RequestId,
+    val method: String,
+    val path: String,
+    val query: String,
+    val headers: List<Pair<String, String>>,
+    val body: ByteArray,
+)
+
+/** A service's answer; [body] is null when it was larger than the limit. */
+class ServiceAnswer(val status: Int, val headers: List<Pair<String, String>>, val body: ByteArray?)
+
+/** Calls plain services. It never repeats a call. */
+class ServiceClient(client: OkHttpClient, private val maxAnswerBytes: Long = DEFAULT_MAX_ANSWER_BYTES) {
+    private val pooled = client.newBuilder()
+        .retryOnConnectionFailure(false)
+        .followRedirects(false)
+        .protocols(listOf(Protocol.HTTP_1_1))
+        .addNetworkInterceptor(WriteGateInterceptor)
+        .build()
+
+    // An idle connection that the service has closed would end a call after its first byte, with an unknown outcome.
+    // Silence ends it at its deadline only, since it can't be tried elsewhere.
+    private val unpooled = pooled.newBuilder()
+        .connectionPool(ConnectionPool(0, 1, TimeUnit.NANOSECONDS))
+        .readTimeout(0, TimeUnit.MILLISECONDS)
+        .build()
+
+    /** Sends an idempotent [call]; the error is one sentence about the cause. */
+    fun send(address: String, call: ServiceCall, timeoutMs: Long): Result<ServiceAnswer, String> =
+        send(pooled, address, call, WriteGate(), timeoutMs)
+
+    /** Sends [call] on a new connection; [gate] tells afterwards whether a byte may have been written. */
+    fun sendOnce(address: String, call: ServiceCall, gate: WriteGate, timeoutMs: Long): Result<ServiceAnswer, String> =
+        send(unpooled, address, call, gate, timeoutMs)
+
+    private fun send(
+        client: OkHttpClient,
+        address: String,
+        call: ServiceCall,
+        gate: WriteGate,
+        timeoutMs: Long,
+    ): Result<ServiceAnswer, String> {
+        if (timeoutMs <= 0) return Err("no time left")
+        return try {
+            val sent = client.newCall(requestOf(address, call, gate))
+            sent.timeout().timeout(timeoutMs, TimeUnit.MILLISECONDS)
+            sent.execute().use { read(sent, it, call, gate) }
+        } catch (e: IOException) {
+            Err("no answer from the service: ${e.message}")
+        } catch (e: IllegalArgumentException) {
+            Err("the call can't be sent: ${e.message}")
+        }
+    }
+
+    private fun read(sent: Call, response: Response, call: ServiceCall, gate: WriteGate): Result<ServiceAnswer, String> {
+        if (!isAnswerTo(call, response)) {
+            sent.cancel()
+            log.warn("http: {} answered request {} with the answer to another", sent.request().url.host, call.id)
+            return Err("the service answered another request")
+        }
+        val headers = response.headers.toList() + listOfNotNull(gate.retryAfter?.let { "Retry-After" to it })
+        val source = response.body.source()
+        if (source.request(maxAnswerBytes + 1)) {
+            sent.cancel()
+            return Ok(ServiceAnswer(response.code, headers, null))
+        }
+        return Ok(ServiceAnswer(response.code, headers, source.readByteArray()))
+    }
+
+    // Services that return the request's id or key thereby show which request they answer.
+    private fun isAnswerTo(call: ServiceCall, response: Response): Boolean {
+        val id = response.header(REQUEST_ID)
+        val key = response.header(IDEMPOTENCY_KEY)
+        val sentKey = call.headers.firstOrNull { it.first.equals(IDEMPOTENCY_KEY, ignoreCase = true) }?.second
+        return (id == null || id == call.id.value) && (key == null || key.equals(sentKey, ignoreCase = true))
+    }
+
+    private fun requestOf(address: String, call: ServiceCall, gate: WriteGate): Request {
+        val url = "http://$address/".toHttpUrl().newBuilder()
+        val segments = call.path.removePrefix("/").split('/')
+        segments.forEachIndexed { index, segment ->
+            if (index ==
+                0
+            ) {
+                url.setPathSegment(0, segment)
+            } else {
+                url.addPathSegment(segment)
+            }
+        }
+        if (call.query.isNotEmpty()) url.encodedQuery(call.query)
+        val body = if (call.method in METHODS_WITHOUT_BODY) null else call.body.toRequestBody()
+        val request = Request.Builder().url(url.build()).method(call.method, body).tag(WriteGate::class.java, gate)
+        call.headers.forEach { (name, value) -> request.addHeader(name, value) }
+        // Without it OkHttp would ask for gzip by itself.
+        return request.header("Accept-Encoding", "identity").header(REQUEST_ID, call.id.value).build()
+    }
+
+    companion object {
+        /** Header with the caller's key. */
+        const val IDEMPOTENCY_KEY = "Idempotency-Key"
+
+        /** Header with the offset of the claim of a call that runs once. */
+        const val FENCING_NUMBER = "Fencing-Number"
+
+        /** Header with the id of the request. */
+        const val REQUEST_ID = "Request-Id"
+
+        private val log = LoggerFactory.getLogger(ServiceClient::class.java)
+        private const val DEFAULT_MAX_ANSWER_BYTES = 16L * 1024 * 1024
+        private val METHODS_WITHOUT_BODY = setOf("GET", "HEAD")
+    }
+}
