Put configuration, peers, routing and services together in the entry instance

EntryNode now runs the whole system: an instance is ready when it has confirmed its configuration and the others count it in, and it refuses new work while it shuts down or is cut off. Class bounds, prompt limits, time-outs and priorities come from the published configuration; the setting defaultTimeoutMs goes.

--- a/cli/src/main/kotlin/org/godwitwick/cli/ServeCommand.kt
+++ b/cli/src/main/kotlin/org/godwitwick/cli/ServeCommand.kt
@@ -6,6 +6,7 @@
 import org.godwitwick.node.settings.NodeSettings
 import org.godwitwick.node.settings.SettingsFault
 import org.godwitwick.node.settings.readJsonFile
+import org.godwitwick.node.settings.readSecret
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
 import picocli.CommandLine.Parameters
@@ -31,8 +32,10 @@
         val settings = readJsonFile(settingsPath, NodeSettings.serializer()).getOrElse { return report(it) }
         val keysPath = settingsPath.resolveSibling(settings.keysFile)
         val keys = readJsonFile(keysPath, KeyFile.serializer()).getOrElse { return report(it) }
-        val node = EntryNode(settings, keys)
-        return serve(EntryNode(settings, keys))
+        val secret = settings.peerSecretFile?.let {
+            readSecret(settingsPath.resolveSibling(it)).getOrElse { fault -> return report(fault) }
+        }
+        return serve(EntryNode(settings, keys, secret))
     }
 
     private fun serve(node: EntryNode): Int = node.use {
--- a/core/src/main/kotlin/org/godwitwick/core/config/ConfigField.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/config/ConfigField.kt
@@ -44,7 +44,13 @@
         "60000",
         setOf(ScopeKind.ORGANISATION, ScopeKind.MODEL, ScopeKind.CLASS, ScopeKind.SERVICE),
     ),
-    PRIORITY("request.priority", "level, 0 is first", FieldType.Whole(0, 9), "0", setOf(ScopeKind.ORGANISATION, ScopeKind.CLASS)),
+    PRIORITY(
+        "request.priority",
+        "levels added to the class's own: short 0, medium 1, long 2, huge 3; 0 is first",
+        FieldType.Whole(0, 9),
+        "0",
+        setOf(ScopeKind.ORGANISATION, ScopeKind.CLASS),
+    ),
     LONG_SHARE(
         "admission.longShare",
         "fraction of replicas",
--- a/core/src/main/kotlin/org/godwitwick/core/model/GenerateRequest.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/model/GenerateRequest.kt
@@ -8,6 +8,7 @@
  *
  * @property prompt the prompt's text; never logged.
  * @property maxTokens upper bound of generated tokens.
+ * @property priority level at the engine; 0 is first.
  * @property deadline the request's one deadline.
  */
 data class GenerateRequest(
@@ -18,6 +19,7 @@
     val maxTokens: Int,
     val promptClass: PromptClass,
     val deadline: Deadline,
+    val priority: Int = promptClass.ordinal,
 ) {
     /** Estimated length of the prompt in tokens. */
     val promptTokens: Int get() = estimateTokens(prompt)
--- a/lab/src/main/kotlin/org/godwitwick/lab/Main.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/Main.kt
@@ -1,6 +1,8 @@
 package org.godwitwick.lab
 
 import org.godwitwick.lab.demo.DemoCommand
+import org.godwitwick.lab.experiment.ExperimentCommand
+import org.godwitwick.lab.slopes.SlopesCommand
 import picocli.CommandLine
 import picocli.CommandLine.Command
 import kotlin.system.exitProcess
@@ -10,11 +12,11 @@
     name = "lab",
     mixinStandardHelpOptions = true,
     description = ["Demo and experiments with a fleet of processes on the loopback address."],
-    subcommands = [DemoCommand::class],
+    subcommands = [DemoCommand::class, ExperimentCommand::class, SlopesCommand::class],
 )
 class LabCommand
 
 /** Runs the command line. */
 fun main(args: Array<String>) {
-    exitProcess(CommandLine(LabCommand()).execute(*args))
+    exitProcess(CommandLine(LabCommand()).setCaseInsensitiveEnumValuesAllowed(true).execute(*args))
 }
--- a/lab/src/main/kotlin/org/godwitwick/lab/demo/DemoCommand.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/demo/DemoCommand.kt
@@ -9,6 +9,7 @@
 import org.godwitwick.standins.run.EngineStandin
 import org.godwitwick.standins.run.ListStandin
 import org.godwitwick.standins.run.Location
+import org.godwitwick.standins.run.LogStandin
 import org.godwitwick.standins.run.WeightsStandin
 import org.godwitwick.standins.run.listRow
 import picocli.CommandLine.Command
@@ -34,12 +35,12 @@
     }
 
     private fun show(fleet: ProcessFleet) {
-        val standins = fleet.startStandins("standins", listOf(ListStandin(), WeightsStandin()) + engines)
+        val standins = fleet.startStandins("standins", listOf(ListStandin(), LogStandin(), WeightsStandin()) + engines)
         val forwarders = engines.associateWith { TcpForwarder(standins.addresses.getValue(it.id), tap::connection) }
         try {
             val list = standins.addresses.getValue("list")
             LabClient.putList(list, forwarders.map { (engine, it) -> listRow("engine", engine.id, MODEL, it.address, LOCATION) })
-            val entries = (1..ENTRIES).map { fleet.startEntry(settings("entry-$it", list)) }
+            val entries = (1..ENTRIES).map { fleet.startEntry(settings("entry-$it", list, standins.addresses.getValue("log"))) }
             println("demo: ${engines.size} engines and ${entries.size} entry instances run")
             showStreams(entries)
             // The steps of the booking sent twice under one key and of a publication go here.
@@ -94,13 +95,13 @@
     private fun sinceSent(result: StreamResult, nanos: Long?): String =
         nanos?.let { ((it - result.sentNanos) / NANOS_PER_MS).toString() } ?: "unknown"
 
-    private fun settings(id: String, list: String) = NodeSettings(
+    private fun settings(id: String, list: String, log: String) = NodeSettings(
         instanceId = id,
         region = LOCATION.region,
         dataCentre = LOCATION.dataCentre,
         httpPort = 0,
         keysFile = "",
-        logUrl = "http://127.0.0.1:1",
+        logUrl = "http://$log",
         instanceListUrl = "http://$list",
         drainNoticeMs = 500,
     )
--- a/lab/src/main/kotlin/org/godwitwick/lab/process/ProcessFleet.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/process/ProcessFleet.kt
@@ -1,15 +1,19 @@
 package org.godwitwick.lab.process
 
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import org.godwitwick.node.security.KeyEntry
 import org.godwitwick.node.security.sha256Hex
 import org.godwitwick.node.settings.KeyFile
 import org.godwitwick.node.settings.NodeSettings
+import org.godwitwick.standins.run.Location
 import org.godwitwick.standins.run.RunningSet
 import org.godwitwick.standins.run.StandinSet
 import org.godwitwick.standins.run.StandinSpec
+import org.godwitwick.standins.run.listRow
 import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
@@ -25,6 +29,12 @@
 class EntryProcess(val process: FleetProcess, val settings: NodeSettings) {
     /** `ip:port` for callers. */
     val address: String get() = "${settings.host}:${settings.httpPort}"
+
+    /** The instance's row on the instance list. */
+    fun row(): JsonObject {
+        val row = listRow("entry", settings.instanceId, "", address, Location(settings.region, settings.dataCentre))
+        return JsonObject(row + ("peer_address" to JsonPrimitive("${settings.host}:${settings.peerPort}")))
+    }
 }
 
 /**
@@ -34,6 +44,7 @@
 class ProcessFleet : AutoCloseable {
     private val directory: Path = Files.createTempDirectory("godwitwick-lab-")
     private val started = ArrayList<Process>()
+    private val entries = ArrayList<EntryProcess>()
 
     /** Starts [specs] in one process and waits until all of them serve. */
     fun startStandins(name: String, specs: List<StandinSpec>): StandinProcess {
@@ -48,8 +59,14 @@
 
     /** Starts an entry instance and waits until it is ready. */
     fun startEntry(settings: NodeSettings, options: List<String> = emptyList()): EntryProcess {
-        val placed = settings.copy(httpPort = freePort(), peerPort = freePort(), keysFile = KEYS_FILE)
+        val placed = settings.copy(
+            httpPort = freePort(),
+            peerPort = freePort(),
+            keysFile = KEYS_FILE,
+            peerSecretFile = SECRET_FILE,
+        )
         Files.writeString(directory.resolve(KEYS_FILE), json.encodeToString(KeyFile.serializer(), keys))
+        Files.writeString(directory.resolve(SECRET_FILE), PEER_SECRET)
         val file = directory.resolve("${settings.instanceId}.json")
         Files.writeString(file, json.encodeToString(NodeSettings.serializer(), placed))
         val process = start(settings.instanceId, ENTRY_HEAP, CLI_MAIN, listOf("serve", file.toString()) + options)
@@ -58,9 +75,13 @@
             check(process.isAlive) { "${process.name} ended; log:\n${process.log}" }
             LabClient.status(entry.address, "/readyz") == READY_STATUS
         }
+        entries += entry
         return entry
     }
 
+    /** Replaces the instance list at [list] by [upstreams] and the entry instances started so far. */
+    fun publishList(list: String, upstreams: List<JsonObject>) = LabClient.putList(list, upstreams + entries.map { it.row() })
+
     private fun start(name: String, heap: String, mainClass: String, arguments: List<String>): FleetProcess {
         val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
         val logFile = directory.resolve("$name.log")
@@ -92,6 +113,8 @@
         private const val STANDINS_MAIN = "org.godwitwick.standins.run.MainKt"
         private const val CLI_MAIN = "org.godwitwick.cli.MainKt"
         private const val KEYS_FILE = "keys.json"
+        private const val SECRET_FILE = "peer-secret"
+        private const val PEER_SECRET = "lab-peer-secret-of-the-instances"
         private const val ENTRY_HEAP = "128m"
         private const val STANDIN_HEAP = "192m"
         private const val READY_STATUS = 200
--- a/lab/src/test/kotlin/org/godwitwick/lab/ProcessFaultTest.kt
+++ b/lab/src/test/kotlin/org/godwitwick/lab/ProcessFaultTest.kt
@@ -10,6 +10,7 @@
 import org.godwitwick.standins.run.EngineStandin
 import org.godwitwick.standins.run.ListStandin
 import org.godwitwick.standins.run.Location
+import org.godwitwick.standins.run.LogStandin
 import org.godwitwick.standins.run.listRow
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
@@ -35,7 +36,7 @@
     /** Guards against G7: a rolling restart that cuts streams, a wrong exit code, and a second signal that ends the process early. */
     @Test
     fun `SIGTERM during ten streams loses nothing and the process exits 0`() = withFleet { fleet ->
-        val entry = fleet.entry(fleet.standins(engine).getValue("list"))
+        val entry = fleet.entry(fleet.standins(engine))
         val streaming = CountDownLatch(STREAMS)
         val streams = (1..STREAMS).map {
             CompletableFuture.supplyAsync({ stream(entry, 60) { streaming.countDown() } }, { Thread(it).start() })
@@ -53,9 +54,9 @@
     /** Guards against an instance that others depend on. */
     @Test
     fun `SIGKILL of one entry instance leaves the other serving`() = withFleet { fleet ->
-        val list = fleet.standins(engine).getValue("list")
-        val killed = fleet.entry(list, "entry-1")
-        val other = fleet.entry(list, "entry-2")
+        val standins = fleet.standins(engine)
+        val killed = fleet.entry(standins, "entry-1")
+        val other = fleet.entry(standins, "entry-2")
         val broken = CompletableFuture.supplyAsync { stream(killed, 400) { killed.process.kill() } }
         expectThat(broken.get().isComplete).isEqualTo(false)
         repeat(5) { expectThat(stream(other, 2).isComplete).isTrue() }
@@ -65,12 +66,12 @@
     @Test
     fun `a request to a frozen engine ends by its deadline with an error`() = withFleet { fleet ->
         val engineProcess = fleet.startStandins("engine", listOf(engine))
-        val list = fleet.standins().getValue("list")
+        val standins = fleet.standins()
         LabClient.putList(
-            list,
+            standins.getValue("list"),
             listOf(listRow("engine", "engine-1", "menu", engineProcess.addresses.getValue("engine-1"), location)),
         )
-        val entry = fleet.entry(list)
+        val entry = fleet.entry(standins)
         expectThat(stream(entry, 2).isComplete).isTrue()
         engineProcess.process.freeze()
         val result = LabClient.stream(entry.address, "a note", 2, timeoutMs = 2_000)
@@ -85,9 +86,12 @@
     fun `a silent connection ends its request by resumption or error and new requests work`() = withFleet { fleet ->
         val engineAddress = fleet.startStandins("engine", listOf(engine)).addresses.getValue("engine-1")
         TcpForwarder(engineAddress).use { forwarder ->
-            val list = fleet.standins().getValue("list")
-            LabClient.putList(list, listOf(listRow("engine", "engine-1", "menu", forwarder.address, location)))
-            val entry = fleet.entry(list)
+            val standins = fleet.standins()
+            LabClient.putList(
+                standins.getValue("list"),
+                listOf(listRow("engine", "engine-1", "menu", forwarder.address, location)),
+            )
+            val entry = fleet.entry(standins)
             var silenced = 0
             val result = LabClient.stream(entry.address, "a note", 100, timeoutMs = 5_000) {
                 if (silenced == 0) silenced = forwarder.silencePresent()
@@ -106,9 +110,12 @@
         val lastSentNanos = CompletableFuture<Long>()
         val tap = { text: String, nanos: Long -> if ("\"done\":true" in text) lastSentNanos.complete(nanos) }
         TcpForwarder(engineAddress) { { text, nanos -> tap(text, nanos) } }.use { forwarder ->
-            val list = fleet.standins().getValue("list")
-            LabClient.putList(list, listOf(listRow("engine", "engine-1", "menu", forwarder.address, location)))
-            val result = stream(fleet.entry(list), 40)
+            val standins = fleet.standins()
+            LabClient.putList(
+                standins.getValue("list"),
+                listOf(listRow("engine", "engine-1", "menu", forwarder.address, location)),
+            )
+            val result = stream(fleet.entry(standins), 40)
             expectThat(result.isComplete).isTrue()
             expectThat(result.firstTokenNanos).isNotNull().isLessThan(lastSentNanos.get())
         }
@@ -117,7 +124,7 @@
     /** Guards against keys, prompts and lines without a request id in the log of the real process, in JSON as operators collect it. */
     @Test
     fun `the JSON log of a process holds request ids and neither keys nor prompts`() = withFleet { fleet ->
-        val entry = fleet.entry(fleet.standins(engine).getValue("list"), options = listOf("--log-format", "json"))
+        val entry = fleet.entry(fleet.standins(engine), options = listOf("--log-format", "json"))
         val prompt = "a very private note"
         LabClient.stream(entry.address, prompt, 2)
         LabClient.stream(entry.address, prompt, 0)
@@ -136,24 +143,27 @@
     private fun withFleet(action: (ProcessFleet) -> Unit) = ProcessFleet().use(action)
 
     private fun ProcessFleet.standins(vararg engines: EngineStandin): Map<String, String> =
-        startStandins("standins", listOf(ListStandin()) + engines).addresses
-
-    private fun ProcessFleet.entry(list: String, id: String = "entry-1", options: List<String> = emptyList()): EntryProcess =
-        startEntry(
-            NodeSettings(
-                instanceId = id,
-                region = location.region,
-                dataCentre = location.dataCentre,
-                httpPort = 0,
-                keysFile = "",
-                logUrl = "http://127.0.0.1:1",
-                instanceListUrl = "http://$list",
-                listPollMs = 100,
-                drainNoticeMs = 1_000,
-                stallTimeoutMs = 1_000,
-            ),
-            options,
-        )
+        startStandins("standins", listOf(ListStandin(), LogStandin()) + engines).addresses
+
+    private fun ProcessFleet.entry(
+        standins: Map<String, String>,
+        id: String = "entry-1",
+        options: List<String> = emptyList(),
+    ): EntryProcess = startEntry(
+        NodeSettings(
+            instanceId = id,
+            region = location.region,
+            dataCentre = location.dataCentre,
+            httpPort = 0,
+            keysFile = "",
+            logUrl = "http://${standins.getValue("log")}",
+            instanceListUrl = "http://${standins.getValue("list")}",
+            listPollMs = 100,
+            drainNoticeMs = 1_000,
+            stallTimeoutMs = 1_000,
+        ),
+        options,
+    )
 
     private fun stream(entry: EntryProcess, maxTokens: Int, onToken: () -> Unit = {}): StreamResult {
         var isFirst = true
--- a/lab/src/test/kotlin/org/godwitwick/lab/WholePathTest.kt
+++ b/lab/src/test/kotlin/org/godwitwick/lab/WholePathTest.kt
@@ -6,6 +6,7 @@
 import okhttp3.OkHttpClient
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
+import org.godwitwick.lab.process.await
 import org.godwitwick.node.entry.EntryNode
 import org.godwitwick.node.security.KeyEntry
 import org.godwitwick.node.security.sha256Hex
@@ -13,6 +14,7 @@
 import org.godwitwick.node.settings.NodeSettings
 import org.godwitwick.standins.engine.FakeEngine
 import org.godwitwick.standins.list.FakeInstanceList
+import org.godwitwick.standins.log.FakeLog
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
@@ -47,11 +49,14 @@
 
     private fun withNode(action: (Int) -> Unit) {
         FakeEngine(0, timeScale = 20.0).use { engine ->
-            FakeInstanceList(0).use { list ->
-                list.set(listOf(engineRow(engine.address)))
-                EntryNode(settings(list.address), keys).use { node ->
-                    node.start()
-                    action(node.httpPort)
+            FakeLog(0).use { log ->
+                FakeInstanceList(0).use { list ->
+                    list.set(listOf(engineRow(engine.address)))
+                    EntryNode(settings(list.address, log.address), keys).use { node ->
+                        node.start()
+                        await("ready") { node.readiness.reasons.isEmpty() }
+                        action(node.httpPort)
+                    }
                 }
             }
         }
@@ -66,13 +71,13 @@
         put("data_centre", "tn-north-a")
     }
 
-    private fun settings(listAddress: String) = NodeSettings(
+    private fun settings(listAddress: String, logAddress: String) = NodeSettings(
         instanceId = "entry-1",
         region = "tn-north",
         dataCentre = "tn-north-a",
         httpPort = 0,
         keysFile = "keys.json",
-        logUrl = "http://127.0.0.1:1",
+        logUrl = "http://$logAddress",
         instanceListUrl = "http://$listAddress",
     )
 
--- a/lab/src/test/kotlin/org/godwitwick/lab/upstream/CallerWireTest.kt
+++ b/lab/src/test/kotlin/org/godwitwick/lab/upstream/CallerWireTest.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
+import org.godwitwick.lab.process.await
 import org.godwitwick.node.control.ControlThread
 import org.godwitwick.node.entry.EntryNode
 import org.godwitwick.node.security.KeyEntry
@@ -10,6 +11,7 @@
 import org.godwitwick.node.settings.NodeSettings
 import org.godwitwick.standins.engine.FakeEngine
 import org.godwitwick.standins.list.FakeInstanceList
+import org.godwitwick.standins.log.FakeLog
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
@@ -84,12 +86,18 @@
 
     private fun withNode(action: (Int, FakeEngine) -> Unit) {
         FakeEngine(0, timeScale = 5.0).use { engine ->
-            FakeInstanceList(0).use { list ->
-                list.set(listOf(engineRow(engine.address)))
-                EntryNode(settings(list.address), KeyFile(listOf(KeyEntry(sha256Hex("test-key"), "caterer")))).use {
-                    node = it
-                    it.start()
-                    action(it.httpPort, engine)
+            FakeLog(0).use { log ->
+                FakeInstanceList(0).use { list ->
+                    list.set(listOf(engineRow(engine.address)))
+                    EntryNode(
+                        settings(list.address, log.address),
+                        KeyFile(listOf(KeyEntry(sha256Hex("test-key"), "caterer"))),
+                    ).use {
+                        node = it
+                        it.start()
+                        await("ready") { it.readiness.reasons.isEmpty() }
+                        action(it.httpPort, engine)
+                    }
                 }
             }
         }
@@ -133,13 +141,13 @@
         put("data_centre", "tn-north-a")
     }
 
-    private fun settings(listAddress: String) = NodeSettings(
+    private fun settings(listAddress: String, logAddress: String) = NodeSettings(
         instanceId = "entry-1",
         region = "tn-north",
         dataCentre = "tn-north-a",
         httpPort = 0,
         keysFile = "keys.json",
-        logUrl = "http://127.0.0.1:1",
+        logUrl = "http://$logAddress",
         instanceListUrl = "http://$listAddress",
     )
 }
--- a/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
@@ -3,8 +3,9 @@
 import okhttp3.ConnectionPool
 import okhttp3.Dispatcher
 import okhttp3.OkHttpClient
-import org.godwitwick.core.model.ClassBounds
 import org.godwitwick.core.model.InstanceId
+import org.godwitwick.node.config.ConfigBounds
+import org.godwitwick.node.config.ConfigSystem
 import org.godwitwick.node.control.ControlThread
 import org.godwitwick.node.http.CallerRoutes
 import org.godwitwick.node.http.Drain
@@ -13,50 +14,89 @@
 import org.godwitwick.node.http.ReadinessGate
 import org.godwitwick.node.http.StreamingUndertow
 import org.godwitwick.node.metrics.NodeMetrics
+import org.godwitwick.node.peer.Peer
 import org.godwitwick.node.platform.HttpInstanceList
+import org.godwitwick.node.platform.HttpPlatformLog
 import org.godwitwick.node.platform.ListPoller
 import org.godwitwick.node.security.KeyRing
 import org.godwitwick.node.settings.KeyFile
 import org.godwitwick.node.settings.NodeSettings
-import org.godwitwick.node.upstream.HoldOwner
 import org.godwitwick.node.upstream.RequestIdInterceptor
-import org.godwitwick.node.upstream.UpstreamPath
-import org.godwitwick.node.upstream.rotatingSelector
+import org.http4k.core.then
 import org.http4k.routing.routes
 import org.http4k.server.Http4kServer
 import org.slf4j.LoggerFactory
 import java.util.concurrent.TimeUnit
 
-/** One entry instance: the library that the `serve` command runs. */
-class EntryNode(private val settings: NodeSettings, keyFile: KeyFile) : AutoCloseable {
+/**
+ * One entry instance: the library that the `serve` command runs.
+ *
+ * @param peerSecret the shared secret of the instances, or null for an instance that runs alone.
+ */
+class EntryNode(private val settings: NodeSettings, keyFile: KeyFile, peerSecret: ByteArray? = null) : AutoCloseable {
     private val metrics = NodeMetrics()
     private val inFlight = InFlight()
 
     /** Reasons for which this instance is not ready. */
     val readiness = ReadinessGate().apply { block("starting", "the instance is starting") }
     private val drain = Drain(readiness, inFlight, settings.drainNoticeMs, System::currentTimeMillis)
+    private val incarnation = System.currentTimeMillis()
+    private val self = Peer(InstanceId(settings.instanceId), settings.region, settings.dataCentre)
+    private val keys = KeyRing(keyFile.keys)
     private val control = ControlThread(metrics::controlQueueDelay)
     private val client = upstreamClient(settings)
     private val list = ListPoller(HttpInstanceList(client, settings.instanceListUrl), settings.listPollMs)
-    private val owner = HoldOwner(InstanceId(settings.instanceId), System.currentTimeMillis().toString())
-    private val upstream = UpstreamPath(client, list::instances, owner) { rotatingSelector(list::instances, it) }
+    private val platformLog = HttpPlatformLog(client, settings.logUrl)
+    private val config = ConfigSystem(
+        self,
+        incarnation,
+        peerSecret,
+        platformLog,
+        list::instances,
+        control,
+        ConfigBounds(),
+        settings.host,
+        settings.peerPort,
+    )
+    private val routing = RoutingSystem(
+        self,
+        incarnation,
+        client,
+        control,
+        list::instances,
+        config::view,
+        config.peers.rows,
+        config.peers::members,
+    )
+    private val newWork = NewWorkGuard(drain, config::freshness)
     private val callers = CallerRoutes(
-        keys = KeyRing(keyFile.keys),
-        generate = upstream.generate,
-        bounds = { ClassBounds() },
-        defaultTimeoutMs = settings.defaultTimeoutMs,
+        keys = keys,
+        generate = routing.generate,
+        config = config::view,
         nowMs = System::currentTimeMillis,
         metrics = metrics,
-        refusal = drain::refusal,
+        refusal = newWork::refusal,
         onDeadline = inFlight::extendTo,
     )
+    private val services = ServiceParts(
+        settings,
+        keys,
+        client,
+        peers = config.peers.network,
+        config = config::view,
+        listed = list::instances,
+        nowMs = System::currentTimeMillis,
+        log = platformLog,
+    )
     private val server: Http4kServer = StreamingUndertow(
         settings.host,
         settings.httpPort,
         settings.workerThreads,
         inFlight = inFlight,
         isClosing = drain::isDraining,
-    ).toServer(routes(callers.routes(), OperationRoutes(readiness, metrics).routes()))
+    ).toServer(
+        routes(callers.routes(), newWork.filter().then(services.routes()), OperationRoutes(readiness, metrics).routes()),
+    )
 
     /** Port on which callers are served. */
     val httpPort: Int get() = server.port()
@@ -64,14 +104,26 @@
     /** Starts all parts and serves callers. */
     fun start() {
         list.start()
-        upstream.start()
+        config.start()
+        config.follower.onPause(routing::onResumed)
+        routing.start()
+        services.start()
+        control.every(READINESS_PERIOD_MS, ::updateReadiness)
         server.start()
-        readiness.open("starting")
         log.info("node: instance {} serves callers on port {}", settings.instanceId, httpPort)
     }
 
+    // Until the other instances count this one in, its part of every limit is zero, so callers should go elsewhere.
+    private fun updateReadiness() {
+        newWork.updateReadiness(readiness)
+        if (routing.isSettled()) readiness.open("starting")
+    }
+
     /** Begins the graceful shutdown; returns at once and may be called from any thread, more than once. */
-    fun beginDrain() = drain.begin()
+    fun beginDrain() {
+        config.peers.membership.isLeaving = true
+        drain.begin()
+    }
 
     /** Waits until the shutdown's notice time has passed and the requests in flight have ended. */
     fun awaitDrained() {
@@ -80,7 +132,9 @@
 
     override fun close() {
         server.stop()
-        upstream.close()
+        routing.close()
+        services.close()
+        config.close()
         list.close()
         control.close()
         log.info("node: instance {} stopped", settings.instanceId)
@@ -91,6 +145,7 @@
         const val IDLE_CONNECTIONS = 64
         const val IDLE_MINUTES = 1L
         const val MAX_CALLS = 4_096
+        const val READINESS_PERIOD_MS = 250L
 
         // OkHttp would repeat some failed calls by itself, which could run a non-idempotent call twice.
         fun upstreamClient(settings: NodeSettings): OkHttpClient = OkHttpClient.Builder()
--- a/node/src/main/kotlin/org/godwitwick/node/entry/RoutingSystem.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/entry/RoutingSystem.kt
@@ -11,6 +11,7 @@
 import org.godwitwick.core.membership.watcherOf
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.core.model.ListedInstance
+import org.godwitwick.core.model.PromptClass
 import org.godwitwick.core.placement.ReplicaView
 import org.godwitwick.node.control.AdmissionGate
 import org.godwitwick.node.control.ControlThread
@@ -91,6 +92,9 @@
         upstream.start()
     }
 
+    /** Whether the other instances count this one in; on the control thread. */
+    fun isSettled(): Boolean = gate.isSettled()
+
     /** Forgets what became old while the process was paused; on the control thread. */
     fun onResumed() {
         directory.clear()
@@ -150,10 +154,17 @@
     private companion object {
         const val LIST_PERIOD_MS = 250L
 
+        // Levels behind that of the last class wait behind all classes, as the last class does.
+        fun byClass(report: LoadReport): List<Long> {
+            val byLevel = report.queuedPrefillByPriority.ifEmpty { listOf(report.queuedPrefillTokens.toLong()) }
+            val last = PromptClass.entries.lastIndex
+            return byLevel.take(last) + listOf(byLevel.drop(last).sum()).filter { byLevel.size > last }
+        }
+
         fun placementReport(report: LoadReport, atMs: Long) = PlacementReport(
             incarnation = report.incarnation,
             atMs = atMs,
-            queuedPrefillTokens = report.queuedPrefillByPriority.ifEmpty { listOf(report.queuedPrefillTokens.toLong()) },
+            queuedPrefillTokens = byClass(report),
             freeKvTokens = (report.kvCapacityTokens - report.kvUsedTokens).toLong(),
             kvCapacityTokens = report.kvCapacityTokens,
             prefillTokensPerSecond = report.prefillTokensPerSecond ?: ReplicaView.DEFAULT_PREFILL_TOKENS_PER_SECOND,
--- a/node/src/main/kotlin/org/godwitwick/node/http/CallerRoutes.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/CallerRoutes.kt
@@ -3,9 +3,12 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import kotlinx.serialization.json.Json
+import org.godwitwick.core.admission.AdmissionConfig
+import org.godwitwick.core.config.ConfigField
+import org.godwitwick.core.config.ConfigSubject
+import org.godwitwick.core.config.ConfigView
 import org.godwitwick.core.error.ErrorKind
 import org.godwitwick.core.error.Failure
-import org.godwitwick.core.model.ClassBounds
 import org.godwitwick.core.model.Deadline
 import org.godwitwick.core.model.GenerateRequest
 import org.godwitwick.core.model.OrganisationId
@@ -34,8 +37,7 @@
 class CallerRoutes(
     private val keys: KeyRing,
     private val generate: GenerateService,
-    private val bounds: () -> ClassBounds,
-    private val defaultTimeoutMs: Long,
+    private val config: () -> ConfigView,
     private val nowMs: () -> Long,
     private val metrics: NodeMetrics = NodeMetrics(),
     private val refusal: () -> Failure? = { null },
@@ -53,7 +55,7 @@
         val refused = refusal()
         val principal = keys.principalOf(request.header("Authorization"))
         when {
-            refused != null -> track.failed(refused)
+            principal is Principal.Caller && refused != null -> track.failed(refused)
             principal is Principal.Caller -> guarded(track) { action(request, principal.organisation, track) }
             principal is Principal.Operator -> track.failed(Failure(ErrorKind.FORBIDDEN, "an operator's key can't send requests"))
             else -> track.failed(Failure(ErrorKind.UNAUTHENTICATED, "no valid key in the Authorization header"))
@@ -90,6 +92,8 @@
 
     private fun guarded(track: RequestTrack, action: () -> Response): Response = try {
         action()
+    } catch (e: PromptTooLong) {
+        track.failed(Failure(ErrorKind.TOO_LARGE, "the prompt has about ${e.promptTokens} tokens, more than ${e.maxTokens}"))
     } catch (e: IllegalArgumentException) {
         val message = e.message?.lineSequence()?.first()?.take(MAX_MESSAGE_CHARS) ?: "bad request"
         track.failed(Failure(ErrorKind.BAD_REQUEST, message))
@@ -111,12 +115,18 @@
         maxTokens: Int,
     ): GenerateRequest {
         require(maxTokens in 1..MAX_GENERATED_TOKENS) { "max_tokens is $maxTokens, expected 1 to $MAX_GENERATED_TOKENS" }
-        val promptClass = bounds().classOf(GenerateRequest.estimateTokens(prompt))
-        val deadline = deadlineOf(request).also(onDeadline)
-        return GenerateRequest(id, organisation, model, prompt, maxTokens, promptClass, deadline)
+        val promptTokens = GenerateRequest.estimateTokens(prompt)
+        val values = config()
+        val promptClass = AdmissionConfig({ values }, model, "").classBounds.classOf(promptTokens)
+        val subject = ConfigSubject(organisation = organisation.value, model = model, promptClass = promptClass.label)
+        val maxPromptTokens = values.whole(ConfigField.MAX_PROMPT_TOKENS, subject)
+        if (promptTokens > maxPromptTokens) throw PromptTooLong(promptTokens, maxPromptTokens)
+        val deadline = deadlineOf(request, values.whole(ConfigField.TIMEOUT_MS, subject)).also(onDeadline)
+        val priority = promptClass.ordinal + values.whole(ConfigField.PRIORITY, subject).toInt()
+        return GenerateRequest(id, organisation, model, prompt, maxTokens, promptClass, deadline, priority)
     }
 
-    private fun deadlineOf(request: Request): Deadline {
+    private fun deadlineOf(request: Request, defaultTimeoutMs: Long): Deadline {
         val header = request.header("Request-Timeout-Ms") ?: return Deadline(nowMs() + defaultTimeoutMs)
         val timeoutMs = requireNotNull(header.toLongOrNull()?.takeIf { it > 0 }) {
             "Request-Timeout-Ms is not a positive number of milliseconds"
@@ -178,6 +188,8 @@
             .header(REQUEST_ID_HEADER, request.id.value)
             .body(Json.encodeToString(format.whole(request, text, Usage(request.promptTokens, tokens))))
 
+    private class PromptTooLong(val promptTokens: Int, val maxTokens: Long) : RuntimeException()
+
     private companion object {
         const val MAX_GENERATED_TOKENS = 65_536
         const val MAX_MESSAGE_CHARS = 200
--- a/node/src/main/kotlin/org/godwitwick/node/settings/NodeSettings.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/settings/NodeSettings.kt
@@ -29,7 +29,6 @@
     val workerThreads: Int = 256,
     val listPollMs: Long = 500,
     val drainNoticeMs: Long = 3_000,
-    val defaultTimeoutMs: Long = 60_000,
     val stallTimeoutMs: Long = 10_000,
 )
 
--- a/node/src/main/kotlin/org/godwitwick/node/settings/SettingsReader.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/settings/SettingsReader.kt
@@ -40,3 +40,18 @@
     allowComments = true
     allowTrailingComma = true
 }
+
+/** Smallest accepted shared secret of the instances. */
+const val MIN_SECRET_BYTES = 16
+
+/** Reads the shared secret of the instances from [path]; white space at its ends doesn't count. */
+fun readSecret(path: Path): Result<ByteArray, List<SettingsFault>> = try {
+    val secret = Files.readString(path).trim().toByteArray()
+    if (secret.size >= MIN_SECRET_BYTES) {
+        Ok(secret)
+    } else {
+        Err(listOf(SettingsFault(path.toString(), "(content)", "${secret.size} bytes", "at least $MIN_SECRET_BYTES bytes")))
+    }
+} catch (_: IOException) {
+    Err(listOf(SettingsFault(path.toString(), "(file)", "unreadable", "a readable file")))
+}
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/Dispatcher.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/Dispatcher.kt
@@ -106,7 +106,7 @@
         model = request.model,
         prompt = request.prompt,
         maxTokens = request.maxTokens,
-        priority = request.promptClass.ordinal,
+        priority = request.priority,
         resumeTokens = sent.toList(),
         deadlineAtMs = request.deadline.atMs,
     )
@@ -154,7 +154,7 @@
             val member = members.first { it.id == segment.member }
             val text = request.prompt.substring(segment.startChar, segment.endChar)
             val id = "$dispatchId.${members.indexOf(member)}"
-            val message = EnginePrefill(id, holdIdOf(segment), text, request.promptClass.ordinal, handles.toList())
+            val message = EnginePrefill(id, holdIdOf(segment), text, request.priority, handles.toList())
             entries += enter(member, dispatchId)
             val result = parts.engines.prefill(member.address, message, remainingMs(), onCall)
             val event = result.component1()?.use { it.next() }
--- a/node/src/test/kotlin/org/godwitwick/node/http/ScriptedGenerate.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/http/ScriptedGenerate.kt
@@ -6,8 +6,8 @@
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
+import org.godwitwick.core.config.BuiltInConfig
 import org.godwitwick.core.error.Failure
-import org.godwitwick.core.model.ClassBounds
 import org.godwitwick.core.model.GenerateRequest
 import org.godwitwick.core.model.OrganisationId
 import org.godwitwick.core.model.RequestId
@@ -47,8 +47,7 @@
     private val callers = CallerRoutes(
         keys = KeyRing(listOf(KeyEntry(sha256Hex(KEY), organisation = "caterer"))),
         generate = generate,
-        bounds = { ClassBounds() },
-        defaultTimeoutMs = 20_000,
+        config = { BuiltInConfig },
         nowMs = System::currentTimeMillis,
         metrics = metrics,
         refusal = drain::refusal,
--- a/standins/src/main/kotlin/org/godwitwick/standins/run/Main.kt
+++ b/standins/src/main/kotlin/org/godwitwick/standins/run/Main.kt
@@ -58,6 +58,8 @@
 /** Kinds of stand-ins with a sub-command each; the settings are the classes of [StandinSpec]. */
 private val singleKinds = listOf(
     "engine",
+    "log",
+    "service",
     "list",
     "weights",
 )
--- a/standins/src/main/kotlin/org/godwitwick/standins/run/StandinSpec.kt
+++ b/standins/src/main/kotlin/org/godwitwick/standins/run/StandinSpec.kt
@@ -7,6 +7,8 @@
 import kotlinx.serialization.json.put
 import org.godwitwick.standins.engine.FakeEngine
 import org.godwitwick.standins.list.FakeInstanceList
+import org.godwitwick.standins.log.FakeLog
+import org.godwitwick.standins.service.FakeService
 import org.godwitwick.standins.weights.FakeWeightStore
 
 /** Content of a set file: the stand-ins that one process runs. */
@@ -64,6 +66,28 @@
     override fun start(): RunningStandin = FakeInstanceList(port, lagMs).let { RunningStandin(id, it.address, it) }
 }
 
+/** The append-only log; `POST /faults` switches its faults on. */
+@Serializable
+@SerialName("log")
+data class LogStandin(override val id: String = "log", val port: Int = 0) : StandinSpec {
+    override fun start(): RunningStandin = FakeLog(port).let { RunningStandin(id, it.address, it) }
+}
+
+/** A plain service such as a booking desk, which counts what it ran. */
+@Serializable
+@SerialName("service")
+data class ServiceStandin(
+    override val id: String,
+    val service: String,
+    val location: Location,
+    val port: Int = 0,
+    val checksFencing: Boolean = false,
+) : StandinSpec {
+    override fun start(): RunningStandin = FakeService(port, checksFencing).let {
+        RunningStandin(id, it.address, it, listRow("service", id, service, it.address, location))
+    }
+}
+
 /** The weight store. */
 @Serializable
 @SerialName("weights")
