--- /dev/null
+++ b/lab/src/main/kotlin/org/godwitwick/lab/LabMain.kt
@@ -0,0 +1,15 @@
+package org.godwitwick.lab
+
+import org.godwitwick.lab.demo.DemoCommand
+import picocli.CommandLine
+import picocli.CommandLine.Command
+import kotlin.system.exitProcess
+
+/** Demo, experiments and measurements; not part of the product. */
+@Command(name = "lab", mixinStandardHelpOptions = true, subcommands = [DemoCommand::class])
+class LabCommand
+
+/** Runs the lab's command line. */
+fun main(args: Array<String>) {
+    exitProcess(CommandLine(LabCommand()).setCaseInsensitiveEnumValuesAllowed(true).execute(*args))
+}
