--- a/lab/src/main/kotlin/org/godwitwick/lab/process/FleetProcess.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/process/FleetProcess.kt
@@ -26,6 +26,9 @@
     /** Lets a frozen process go on. */
     fun wake() = signal("CONT")
 
+    /** Ends the standard input of the process, as the end of this process would. */
+    fun closeInput() = process.outputStream.close()
+
     /** Waits for the end of the process and returns its exit code. */
     fun awaitExit(timeoutMs: Long): Int {
         check(process.waitFor(timeoutMs, TimeUnit.MILLISECONDS)) { "$name did not end within $timeoutMs ms; log:\n$log" }
--- /dev/null
+++ b/lab/src/test/kotlin/org/godwitwick/lab/ProcessFleetTest.kt
@@ -0,0 +1,90 @@
+package org.godwitwick.lab
+
+import org.godwitwick.lab.process.FleetProcess
+import org.godwitwick.lab.process.LabClient
+import org.godwitwick.lab.process.ProcessFleet
+import org.godwitwick.lab.process.TcpForwarder
+import org.godwitwick.lab.process.await
+import org.godwitwick.standins.list.FakeInstanceList
+import org.godwitwick.standins.run.ListStandin
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import strikt.api.expectThat
+import strikt.api.expectThrows
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThanOrEqualTo
+import java.net.Socket
+import java.net.SocketException
+import java.net.SocketTimeoutException
+import kotlin.system.measureNanoTime
+
+/** Guards against processes that outlive the test that started them, and against a forwarder that does not disturb. */
+@Timeout(60)
+class ProcessFleetTest {
+    @Test
+    fun `a failing test leaves no process, a frozen one included`() {
+        var left: FleetProcess? = null
+        expectThrows<IllegalStateException> {
+            ProcessFleet().use { fleet ->
+                left = fleet.startStandins("list", listOf(ListStandin())).process.also { it.freeze() }
+                error("the test fails")
+            }
+        }
+        expectThat(left?.isAlive).isEqualTo(false)
+    }
+
+    @Test
+    fun `a process ends when the pipe from its starter ends`() {
+        ProcessFleet().use { fleet ->
+            val process = fleet.startStandins("list", listOf(ListStandin())).process
+            process.closeInput()
+            await("the process ends") { !process.isAlive }
+        }
+    }
+
+    @Test
+    fun `the forwarder delays`() = withForwarder { forwarder ->
+        forwarder.delayMs = 100
+        val nanos = measureNanoTime { expectThat(LabClient.status(forwarder.address, "/instances")).isEqualTo(200) }
+        expectThat(nanos).isGreaterThanOrEqualTo(200_000_000)
+    }
+
+    @Test
+    fun `the forwarder resets present connections`() = withForwarder { forwarder ->
+        opened(forwarder).use { socket ->
+            forwarder.resetPresent()
+            expectThrows<SocketException> { readAll(socket) }
+        }
+    }
+
+    @Test
+    fun `a present connection goes silent and stays open while a new one works`() = withForwarder { forwarder ->
+        opened(forwarder).use { socket ->
+            expectThat(forwarder.silencePresent()).isEqualTo(1)
+            socket.getOutputStream().write(REQUEST)
+            socket.soTimeout = 300
+            expectThrows<SocketTimeoutException> { readAll(socket) }
+            opened(forwarder).close()
+        }
+    }
+
+    private fun withForwarder(action: (TcpForwarder) -> Unit) = FakeInstanceList(0).use { list ->
+        TcpForwarder(list.address).use(action)
+    }
+
+    // A connection on which an answer has begun to arrive.
+    private fun opened(forwarder: TcpForwarder): Socket {
+        val socket = Socket("127.0.0.1", forwarder.address.substringAfter(':').toInt())
+        socket.getOutputStream().write(REQUEST)
+        expectThat(socket.getInputStream().read()).isEqualTo('H'.code)
+        return socket
+    }
+
+    private fun readAll(socket: Socket) {
+        while (socket.getInputStream().read() >= 0) Unit
+    }
+
+    private companion object {
+        val REQUEST = "GET /instances HTTP/1.1\r\nHost: list\r\n\r\n".toByteArray()
+    }
+}
