--- a/lab/src/main/kotlin/org/godwitwick/lab/Main.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/LabMain.kt
@@ -7,16 +7,15 @@
 import picocli.CommandLine.Command
 import kotlin.system.exitProcess
 
-/** Demo, load and experiment tool. */
+/** Demo, experiments and measurements; not part of the product. */
 @Command(
     name = "lab",
     mixinStandardHelpOptions = true,
-    description = ["Demo and experiments with a fleet of processes on the loopback address."],
     subcommands = [DemoCommand::class, ExperimentCommand::class, SlopesCommand::class],
 )
 class LabCommand
 
-/** Runs the command line. */
+/** Runs the lab's command line. */
 fun main(args: Array<String>) {
     exitProcess(CommandLine(LabCommand()).setCaseInsensitiveEnumValuesAllowed(true).execute(*args))
 }
