Cut off callers that read nothing; test ten thousand long reads with faults through the whole path

A caller that stopped reading held a worker thread past its deadline, because a blocked write has no deadline of its own; writes now time out after the stall timeout.

--- /dev/null
+++ b/lab/src/test/kotlin/org/godwitwick/lab/upstream/LongReadsTest.kt
@@ -0,0 +1,82 @@
+package org.godwitwick.lab.upstream
+
+import org.godwitwick.node.upstream.TokenEvent
+import org.godwitwick.node.upstream.UpstreamPath
+import org.godwitwick.standins.engine.Crossing
+import org.godwitwick.standins.engine.FakeEngine
+import org.godwitwick.standins.engine.expectedTokens
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import java.util.concurrent.Callable
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Executors
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Guards against memory that engines lose for good, and against foreign tokens, over many long reads with faults (G2, G3). */
+class LongReadsTest {
+    @Test
+    fun `ten thousand long reads with faults leave every engine's memory free and no caller a foreign token`() {
+        val fleet = EngineFleet(6, stallMs = 250) {
+            FakeEngine(0, prefillTokensPerSecond = 100_000.0, timeScale = 100.0, kvCapacityTokens = 30_000)
+        }
+        fleet.use {
+            fleet.engines.forEach { it.faults.dropsCancelReply = true }
+            val path = fleet.path().also { it.start() }
+            val ends = ConcurrentHashMap<String, AtomicInteger>()
+            val wrong = AtomicInteger()
+            val startedNs = System.nanoTime()
+            val pool = Executors.newFixedThreadPool(24)
+            pool.invokeAll(
+                (0 until READS).map { number ->
+                    Callable {
+                        inject(fleet, number)
+                        // One read in twenty needs more than one engine's memory.
+                        val prompt = "read $number ".repeat(if (number % 20 == 0) 13_000 else 1_500)
+                        val (texts, end) = read(path, prompt, number)
+                        val expected = expectedTokens(prompt, 8)
+                        if (texts != expected.take(texts.size) || (end == "Done" && texts != expected)) wrong.incrementAndGet()
+                        ends.computeIfAbsent(end) { AtomicInteger() }.incrementAndGet()
+                    }
+                },
+            ).forEach { it.get() }
+            pool.shutdown()
+            fleet.awaitFree()
+            val seconds = (System.nanoTime() - startedNs) / 1_000_000_000
+            val used = fleet.engines.map { it.kvUsedTokens }
+            println(
+                "FIGURE $READS long reads on 6 engines in $seconds s: ends $ends, wrong answers $wrong, used tokens after $used",
+            )
+            println(
+                "FIGURE ids dropped ${path.counters.wrongRequestIds}, stalls ${path.counters.stalls}, retries ${path.counters.retries}",
+            )
+            expectThat(wrong.get()).isEqualTo(0)
+            expectThat(ends.getValue("Done").get()).isGreaterThan(READS / 2)
+        }
+    }
+
+    private fun inject(fleet: EngineFleet, number: Int) {
+        val engine = fleet.engines[number % fleet.engines.size]
+        when {
+            number % 503 == 0 -> engine.restart()
+            number % 211 == 0 -> engine.resetStreams()
+            number % 307 == 0 -> engine.freezeStreams()
+            number % 401 == 0 -> engine.faults.crossing = Crossing.SWAP
+            number % 101 == 0 -> fleet.engines.forEach { it.faults.crossing = null }
+        }
+    }
+
+    private fun read(path: UpstreamPath, prompt: String, number: Int): Pair<List<String>, String> {
+        val request = request(prompt, maxTokens = 8, timeoutMs = 10_000)
+        val started = path.generate.start(request)
+        val stream = started.component1() ?: return emptyList<String>() to started.component2()!!.kind.code
+        if (number % 10 == 3) path.generate.cancel(request.organisation, request.id)
+        val (texts, end) = stream.readAll()
+        return texts to ((end as? TokenEvent.Failed)?.failure?.kind?.code ?: "Done")
+    }
+
+    private companion object {
+        const val READS = 10_000
+    }
+}
--- a/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
@@ -39,7 +39,12 @@
         defaultTimeoutMs = settings.defaultTimeoutMs,
         nowMs = System::currentTimeMillis,
     )
-    private val server: Http4kServer = StreamingUndertow(settings.host, settings.httpPort, settings.workerThreads)
+    private val server: Http4kServer = StreamingUndertow(
+        settings.host,
+        settings.httpPort,
+        settings.workerThreads,
+        writeTimeoutMs = settings.stallTimeoutMs,
+    )
         .toServer(routes(callers.routes(), operationRoutes()))
 
     /** Port on which callers are served. */
--- a/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
@@ -14,6 +14,7 @@
 import org.http4k.server.Http4kServer
 import org.http4k.server.ServerConfig
 import org.slf4j.LoggerFactory
+import org.xnio.Options
 import java.io.IOException
 import java.io.InputStream
 import java.net.InetSocketAddress
@@ -26,6 +27,7 @@
  *
  * @property maxBodyBytes largest accepted request body.
  * @property maxHeaderBytes largest accepted request header.
+ * @property writeTimeoutMs time after which a caller that reads nothing is cut off; it would hold a thread for ever otherwise.
  */
 class StreamingUndertow(
     private val host: String,
@@ -33,6 +35,7 @@
     private val workerThreads: Int,
     private val maxBodyBytes: Long = 16L * 1024 * 1024,
     private val maxHeaderBytes: Int = 16 * 1024,
+    private val writeTimeoutMs: Long = 10_000,
 ) : ServerConfig {
     override fun toServer(http: HttpHandler): Http4kServer {
         val server = Undertow.builder()
@@ -40,6 +43,7 @@
             .setWorkerThreads(workerThreads)
             .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, maxBodyBytes)
             .setServerOption(UndertowOptions.MAX_HEADER_SIZE, maxHeaderBytes)
+            .setSocketOption(Options.WRITE_TIMEOUT, writeTimeoutMs.toInt())
             .setHandler(BlockingHandler(ExchangeHandler(http)))
             .build()
         return RunningServer(server)
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/Dispatcher.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/Dispatcher.kt
@@ -32,7 +32,7 @@
             return openGroup(dispatchId, blocked, isSuspect, sent)
         }
         if (isSuspect && !parts.guard.tryPlace(fingerprint, request.id, replica.id)) return placeTaken(listOf(replica))
-        return generate(dispatchId, listOf(replica), sent, engineMessage(dispatchId, sent), emptyList(), emptyList())
+        return generate(dispatchId, listOf(replica), engineMessage(dispatchId, sent), emptyList(), emptyList())
     }
 
     private fun openGroup(dispatchId: String, blocked: Set<InstanceId>, isSuspect: Boolean, sent: List<String>): Opening {
@@ -64,7 +64,6 @@
     private fun generate(
         dispatchId: String,
         replicas: List<SelectedReplica>,
-        sent: List<String>,
         message: EngineGenerate,
         holds: List<HeldMemory>,
         others: List<InFlightTable.Entry>,
@@ -74,7 +73,6 @@
         val result = parts.engines.generate(engine.address, message, remainingMs(), onCall)
         val stream = result.component1()
             ?: return failed(engine, replicas, dispatchId, result.component2()!!, holds, entries)
-        check(message.resumeTokens.size == sent.size) { "a resumed dispatch names all tokens already sent" }
         return Opening.Opened(Attempt(replicas, engine, dispatchId, stream, holds, entries))
     }
 
@@ -131,7 +129,7 @@
                 contextHolds = handles,
                 holdId = holdIdOf(last),
             )
-            return generate(dispatchId, members, sent, message, holds, entries)
+            return generate(dispatchId, members, message, holds, entries)
         }
 
         private fun reserve(segment: GroupSegment): Opening? {
