--- a/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
@@ -22,6 +22,7 @@
 import org.godwitwick.node.settings.KeyFile
 import org.godwitwick.node.settings.NodeSettings
 import org.godwitwick.node.upstream.RequestIdInterceptor
+import org.godwitwick.node.upstream.UpstreamPath
 import org.http4k.core.then
 import org.http4k.routing.routes
 import org.http4k.server.Http4kServer
@@ -94,10 +95,14 @@
         settings.workerThreads,
         inFlight = inFlight,
         isClosing = drain::isDraining,
+        writeTimeoutMs = settings.stallTimeoutMs,
     ).toServer(
         routes(callers.routes(), newWork.filter().then(services.routes()), OperationRoutes(readiness, metrics).routes()),
     )
 
+    /** The path to the engines. */
+    val upstream: UpstreamPath get() = routing.path
+
     /** Port on which callers are served. */
     val httpPort: Int get() = server.port()
 
--- a/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
@@ -15,6 +15,7 @@
 import org.http4k.server.ServerConfig
 import org.slf4j.LoggerFactory
 import org.slf4j.MDC
+import org.xnio.Options
 import java.io.IOException
 import java.io.InputStream
 import java.net.InetSocketAddress
@@ -29,6 +30,7 @@
  * @property maxHeaderBytes largest accepted request header.
  * @property inFlight counts each exchange from its header on, those that wait for a worker thread included.
  * @property isClosing whether connections are closed after their answer, so that callers connect to another instance.
+ * @property writeTimeoutMs time after which a caller that reads nothing is cut off; it would hold a thread for ever otherwise.
  */
 class StreamingUndertow(
     private val host: String,
@@ -38,6 +40,7 @@
     private val maxHeaderBytes: Int = 16 * 1024,
     private val inFlight: InFlight = InFlight(),
     private val isClosing: () -> Boolean = { false },
+    private val writeTimeoutMs: Long = 10_000,
 ) : ServerConfig {
     override fun toServer(http: HttpHandler): Http4kServer {
         val server = Undertow.builder()
@@ -46,6 +49,7 @@
             .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, maxBodyBytes)
             .setServerOption(UndertowOptions.MAX_HEADER_SIZE, maxHeaderBytes)
             .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, true)
+            .setSocketOption(Options.WRITE_TIMEOUT, writeTimeoutMs.toInt())
             .setHandler(counted(BlockingHandler(ExchangeHandler(http, isClosing))))
             .build()
         return RunningServer(server)
