--- a/node/src/main/kotlin/org/godwitwick/node/control/ReplicaDirectory.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/control/ReplicaDirectory.kt
@@ -36,7 +36,9 @@
  * @param dataCentre data centre of the instance.
  */
 class ReplicaDirectory(private val region: String, private val dataCentre: String) {
-    private class Snapshot(val cells: Map<InstanceId, ReplicaCell>, val tables: Map<String, ModelTable>)
+    private class Snapshot(val cells: Map<InstanceId, ReplicaCell>, val tables: Map<String, ModelTable>) {
+        val ids: Map<Int, InstanceId> = cells.keys.associateBy { it.value.hashCode() }
+    }
 
     private val indexes = ConcurrentHashMap<String, CacheIndex>()
     private val gateways = HashMap<Pair<String, String>, Set<InstanceId>>()
@@ -52,6 +54,9 @@
     /** The replica [id], or null. */
     fun cell(id: InstanceId): ReplicaCell? = snapshot.cells[id]
 
+    /** The replica whose id has the hash [idHash], or null. Of two with the same hash one gets both rows and the other none. */
+    fun idOf(idHash: Int): InstanceId? = snapshot.ids[idHash]
+
     /** Models that have replicas in the instance's data centre. */
     val models: Set<String> get() = snapshot.tables.keys
 
@@ -67,7 +72,10 @@
      * that is ahead counts as read now; otherwise work sent until that time would be taken as included in it.
      */
     fun onReport(replica: InstanceId, received: LoadReport, nowMs: Long) {
-        val report = if (received.atMs > nowMs) received.copy(atMs = nowMs) else received
+        val report = received.copy(
+            incarnation = LoadRows.shortIncarnation(received.incarnation),
+            atMs = minOf(received.atMs, nowMs),
+        )
         val cell = snapshot.cells[replica] ?: return
         val before = cell.load.report
         if (before != null && before.incarnation != report.incarnation) indexOf(cell).forget(cell.slot)
--- a/node/src/test/kotlin/org/godwitwick/node/control/DirectorySelectorTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/control/DirectorySelectorTest.kt
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 import strikt.assertions.isNull
 
 class DirectorySelectorTest {
@@ -70,4 +71,18 @@
         expectThat(answer.get()).isNull()
         expectThat(answer.getError()?.kind).isEqualTo(ErrorKind.NO_UPSTREAM)
     }
+
+    // Guards against rows that exceed an instance's share of network or lose what a decision needs.
+    @Test
+    fun `a load row carries a report in few bytes`() {
+        val ids = (0..99).map { InstanceId("engine-$it") }
+        val own =
+            LoadReport("i7", 9_990, listOf(640, 0, 64_000, 0), 123_000, 400_000, 20_000.0, isLeaving = true, heldTokens = 5_000)
+        directory.onList(ids.map { ListedInstance(it, ListedKind.ENGINE, "menu", "h", null, "tn-north", "a") })
+        val row = LoadRows(directory) { ids.associateWith { own } }.encode(10_000)
+        LoadRows(directory) { emptyMap() }.accept(InstanceId("n2"), row, 10_100)
+        expectThat(row.size / ids.size).isLessThan(32)
+        expectThat(directory.cell(ids[42])?.load?.report?.copy(incarnation = "i7")).isEqualTo(own)
+        expectThat(directory.cell(ids[42])?.isOpen).isEqualTo(false)
+    }
 }
