Publish only the demand that the floor share does not satisfy

Cause: a row of all organisations is 20 bytes each; 1,700 of them from every instance each second exceed the 16 KB/s of a node by far. An organisation that needs less than its floor has no use for a demand share. The gate's test of a blocked control thread now fails after 30 s where it would hang.

--- a/core/src/main/kotlin/org/godwitwick/core/admission/DemandTable.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/admission/DemandTable.kt
@@ -8,13 +8,15 @@
  *
  * @property atMs time of the publication on the publisher's clock; orders its publications.
  * @property countedInstances entry instances that the publisher counts.
- * @property workPerSecond arriving work tokens by organisation.
+ * @property workPerSecond arriving work tokens of the organisations that need more than the floor share.
+ * @property totalPerSecond arriving work tokens of all organisations.
  * @property longReads long reads that occupy a replica now.
  */
 data class Demand(
     val atMs: Long,
     val countedInstances: Int,
     val workPerSecond: Map<OrganisationId, Double>,
+    val totalPerSecond: Double = workPerSecond.values.sum(),
     val longReads: Int = 0,
     val dataCentre: String = "",
 )
@@ -71,8 +73,8 @@
     /** This instance's part of a quantity that is split by all demand in its data centre [dataCentre]. */
     fun shareInDataCentre(quantity: Double, dataCentre: String, localInstances: Int, nowMs: Long): Double {
         val peers = fresh(nowMs).filter { it.dataCentre == dataCentre }.toList()
-        val ownDemand = published?.workPerSecond?.values?.sum() ?: 0.0
-        val seen = ownDemand + peers.sumOf { it.workPerSecond.values.sum() }
+        val ownDemand = published?.totalPerSecond ?: 0.0
+        val seen = ownDemand + peers.sumOf { it.totalPerSecond }
         return LimitSplit.shareOf(quantity, LimitKnowledge(localInstances, peers.size + 1, ownDemand, seen, isSettled = true))
     }
 
--- a/core/src/main/kotlin/org/godwitwick/core/admission/LimitSplit.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/admission/LimitSplit.kt
@@ -29,12 +29,15 @@
     fun shareOf(limit: Double, known: LimitKnowledge): Double {
         if (!known.isSettled) return 0.0
         val instances = maxOf(known.listedInstances, known.seenInstances, 1)
-        val floor = limit * FLOOR_FRACTION / instances
+        val floor = floorOf(limit, instances)
         if (instances == 1) return limit
         if (known.seenInstances <= 1) return floor
         val demandPart = if (known.seenDemand > 0.0) known.ownDemand / known.seenDemand else 1.0 / known.seenInstances
         return floor + limit * (1 - FLOOR_FRACTION) * known.seenInstances / instances * demandPart.coerceIn(0.0, 1.0)
     }
 
+    /** The part of [limit] that each of [instances] has whatever its demand. */
+    fun floorOf(limit: Double, instances: Int): Double = limit * FLOOR_FRACTION / instances.coerceAtLeast(1)
+
     private const val FLOOR_FRACTION = 0.5
 }
--- a/core/src/main/kotlin/org/godwitwick/core/admission/OrganisationLimits.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/admission/OrganisationLimits.kt
@@ -48,10 +48,16 @@
             // A full bucket carries no debt, so forgetting an idle organisation gives it nothing it would not have.
             if (account.perSecond < IDLE_TOKENS_PER_SECOND && account.bucket.opensInMs(1.0) == 0L) iterator.remove()
         }
+        val instances = demand.countedInstances(nowMs)
+        // An organisation that its floor share satisfies needs no demand share, which keeps the rows of a large fleet small.
+        val pressing = accounts.filter { (id, account) ->
+            account.perSecond > LimitSplit.floorOf(limitOf(id), instances) * PRESSING_FRACTION
+        }
         val measured = Demand(
             nowMs,
-            demand.countedInstances(nowMs),
-            accounts.mapValues { it.value.perSecond },
+            instances,
+            pressing.mapValues { it.value.perSecond },
+            accounts.values.sumOf { it.perSecond },
             longReads,
             dataCentre,
         )
@@ -67,6 +73,9 @@
 
         // One long read may cost an instance's part of many seconds. Shorter requests go on meanwhile, and long reads stop.
         const val SHORTER_DEBT_SECONDS = 30.0
+
+        /** Published before the floor is reached, because the others learn of it a second later. */
+        const val PRESSING_FRACTION = 0.7
         const val IDLE_TOKENS_PER_SECOND = 1.0
     }
 }
--- a/core/src/test/kotlin/org/godwitwick/core/admission/DemandTableTest.kt
+++ b/core/src/test/kotlin/org/godwitwick/core/admission/DemandTableTest.kt
@@ -85,4 +85,19 @@
         expectThat(table.countedInstances(13_900)).isEqualTo(4)
         expectThat(table.countedInstances(14_100)).isEqualTo(2)
     }
+
+    // Guards against rows that grow with every organisation, and against a pressing one that is left out and never gets its share.
+    @Test
+    fun `only an organisation that its floor does not satisfy is published`() {
+        val table = tables(4)[0]
+        val limits = OrganisationLimits(table, 0) { 1_000.0 }
+        repeat(30) {
+            limits.charge(bakery, 200, isLongRead = false, nowMs = it * 1_000L)
+            limits.charge(OrganisationId("clinic"), 10, isLongRead = false, nowMs = it * 1_000L)
+            limits.measure("a", longReads = 0, nowMs = it * 1_000L + 999)
+        }
+        val demand = limits.measure("a", longReads = 0, nowMs = 30_000)
+        expectThat(demand.workPerSecond.keys).isEqualTo(setOf(bakery))
+        expectThat(demand.totalPerSecond).isGreaterThan(demand.workPerSecond.getValue(bakery))
+    }
 }
--- a/node/src/main/kotlin/org/godwitwick/node/control/DemandRows.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/control/DemandRows.kt
@@ -17,6 +17,7 @@
             DemandRow(
                 demand.atMs,
                 demand.countedInstances,
+                demand.totalPerSecond.toLong(),
                 demand.longReads,
                 demand.dataCentre,
                 entries.map { it.key.value },
@@ -31,6 +32,11 @@
             OrganisationId(id) to
                 work.toDouble()
         }
-        table.onRow(from, Demand(decoded.atMs, decoded.countedInstances, work, decoded.longReads, decoded.dataCentre), nowMs)
+        val total = decoded.totalPerSecond.toDouble()
+        table.onRow(
+            from,
+            Demand(decoded.atMs, decoded.countedInstances, work, total, decoded.longReads, decoded.dataCentre),
+            nowMs,
+        )
     }
 }
--- a/node/src/main/kotlin/org/godwitwick/node/control/PeerRows.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/control/PeerRows.kt
@@ -53,6 +53,7 @@
 class DemandRow(
     val atMs: Long,
     val countedInstances: Int,
+    val totalPerSecond: Long,
     val longReads: Int,
     val dataCentre: String,
     val organisations: List<String>,
--- a/node/src/test/kotlin/org/godwitwick/node/control/AdmissionGateTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/control/AdmissionGateTest.kt
@@ -17,6 +17,7 @@
 import org.godwitwick.core.model.RequestId
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
@@ -61,6 +62,7 @@
 
     // Guards against a request that outlives its deadline because the control thread is busy, and against a "maybe run" answer.
     @Test
+    @Timeout(30)
     fun `a request fails at its deadline while the control thread is blocked`() {
         listReplicas()
         val release = CountDownLatch(1)
