Estimate the wait of long reads by the places an instance usually has

Cause: at 126 replicas most refusals were long reads. An instance estimated their wait by the places that its peers left free at that moment, often none, and refused reads that would have started within seconds. The estimate now uses its usual part of the data centre's places.

--- a/core/src/main/kotlin/org/godwitwick/core/admission/AdmissionController.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/admission/AdmissionController.kt
@@ -26,9 +26,16 @@
  * @property replicas replicas of the model in the data centre.
  * @property tokensPerSecond prefill speed of one.
  * @property ownFraction this instance's part of the shorter requests' capacity.
- * @property longReads long reads that this instance may run at a time.
+ * @property longReads long reads that this instance may run now.
+ * @property usualLongReads long reads that it may run on average, while others of the data centre come and go.
  */
-data class AdmissionCapacity(val replicas: Int, val tokensPerSecond: Double, val ownFraction: Double, val longReads: Int)
+data class AdmissionCapacity(
+    val replicas: Int,
+    val tokensPerSecond: Double,
+    val ownFraction: Double,
+    val longReads: Int,
+    val usualLongReads: Double = longReads.toDouble(),
+)
 
 /** Decision about one waiting request. [failure] is null when it may be dispatched. */
 class AdmissionDecision<T>(val request: AdmissionRequest, val item: T, val failure: Failure?)
@@ -162,7 +169,8 @@
         val ahead = queues[lane].workAhead(request.organisation, request.work.workTokens) + startedWaiting[lane]
         if (lane == LONG_LANE) {
             if (longReads < capacity.longReads && queues[lane].size == 0) return 0
-            val perSecond = capacity.longReads.coerceAtLeast(1) * capacity.tokensPerSecond / longSlowdown
+            val places = maxOf(capacity.usualLongReads, capacity.longReads.toDouble(), 1.0)
+            val perSecond = places * capacity.tokensPerSecond / longSlowdown
             return (ahead / perSecond * MS_PER_SECOND).toLong()
         }
         val before = if (lane == MEDIUM_LANE) queues[SHORT_LANE].workTokens else 0
--- a/lab/src/main/kotlin/org/godwitwick/lab/experiment/EntryModel.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/experiment/EntryModel.kt
@@ -189,7 +189,7 @@
         val long = LongShare.replicasFor(replicas, share, shorter)
         val ofPeers = demand.longReadsOfPeers(dataCentre, localInstances, now)
         controller.onCapacity(
-            AdmissionCapacity(replicas, speed, fraction, LongShare.allowedHere(long, ofPeers, localInstances)),
+            AdmissionCapacity(replicas, speed, fraction, LongShare.allowedHere(long, ofPeers, localInstances), long * fraction),
             now,
         )
     }
--- a/node/src/main/kotlin/org/godwitwick/node/control/AdmissionGate.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/control/AdmissionGate.kt
@@ -167,7 +167,7 @@
         val shorterReplicas = (shorterWork[model] ?: 0.0) / fraction.coerceAtLeast(MIN_FRACTION) / speed
         val long = LongShare.replicasFor(replicas, share, shorterReplicas)
         val ofPeers = table.longReadsOfPeers(place.dataCentre, localInstances, now)
-        return AdmissionCapacity(replicas, speed, fraction, LongShare.allowedHere(long, ofPeers, localInstances))
+        return AdmissionCapacity(replicas, speed, fraction, LongShare.allowedHere(long, ofPeers, localInstances), long * fraction)
     }
 
     private fun measure() {
