Make the starvation test saturate the window with short requests

Cause: with the rule for late medium requests removed on a scratch edit, the test still passed, because the short requests of the test ran out after a few steps. With more short requests in each step than the window lets through, it fails without the rule and passes with it.

--- a/core/src/test/kotlin/org/godwitwick/core/admission/AdmissionControllerTest.kt
+++ b/core/src/test/kotlin/org/godwitwick/core/admission/AdmissionControllerTest.kt
@@ -93,7 +93,8 @@
         repeat(100) { controller.arrive(request(PromptClass.SHORT, 4_000), it, 0) }
         var mediumAtMs: Long? = null
         for (nowMs in 0L..6_000L step 50) {
-            controller.arrive(request(PromptClass.SHORT, 4_000), 0, nowMs)
+            // More than the window lets through in one step, so that short requests always wait.
+            repeat(25) { controller.arrive(request(PromptClass.SHORT, 4_000), it, nowMs) }
             val admitted = controller.release(nowMs).filter { it.failure == null }
             if (admitted.any { it.item == -1 } && mediumAtMs == null) mediumAtMs = nowMs
             admitted.filter { it.item >= 0 }.forEach { controller.onPrefilled(it.request, 50, isFirstToken = true) }
