Start the recovery only after an outage, and count in a returning instance anew

The first capacity of a model started the recovery, so the first long reads of an instance were refused for 4 s. And an instance that the list had dropped kept its floor when it returned, on top of the whole limit that the others shared by then; after a restart it gets nothing until they count it in.

--- a/core/src/main/kotlin/org/godwitwick/core/admission/AdmissionController.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/admission/AdmissionController.kt
@@ -54,6 +54,9 @@
     private var capacity = AdmissionCapacity(0, 1.0, 0.0, 0)
     private var recoveringFromMs = Long.MIN_VALUE
     private var isMediumTurnOver = false
+
+    // Without replicas although requests came; an instance that has just started is not in an outage.
+    private var isOutage = false
     private var longSlowdown = INITIAL_LONG_SLOWDOWN
 
     /** Long reads admitted here whose first token has not come. */
@@ -63,15 +66,17 @@
     /** Requests that wait. */
     val waiting: Int get() = queues.sumOf { it.size }
 
-    /** Takes the capacity in force. When replicas come back after there were none, admission starts slowly. */
+    /** Takes the capacity in force. When replicas come back after requests found none, admission starts slowly. */
     fun onCapacity(newCapacity: AdmissionCapacity, nowMs: Long) {
-        if (capacity.replicas == 0 && newCapacity.replicas > 0) startRecovery(nowMs)
+        if (newCapacity.replicas == 0 && waiting > 0) isOutage = true
+        if (newCapacity.replicas > 0 && isOutage) startRecovery(nowMs)
         capacity = newCapacity
     }
 
     /** Starts slowly from [nowMs] on, because callers that waited out an outage come back at once. */
     fun startRecovery(nowMs: Long) {
         recoveringFromMs = nowMs
+        isOutage = false
     }
 
     /** Queues [item]; returns the requests that were refused because of it, which may include itself. */
@@ -139,7 +144,10 @@
         startedTokens == 0L || startedTokens + next.item.request.work.prefillTokens <= window
 
     private fun refusalOf(request: AdmissionRequest, nowMs: Long): Failure? {
-        if (capacity.replicas == 0) return Failure(ErrorKind.NO_UPSTREAM, "no replica of the model is known here")
+        if (capacity.replicas == 0) {
+            isOutage = true
+            return Failure(ErrorKind.NO_UPSTREAM, "no replica of the model is known here")
+        }
         if (cannotEnd(request, nowMs)) return tooLate("the deadline is shorter than the request's own work")
         if (request.isLongRead &&
             isRecovering(nowMs)
--- a/core/src/main/kotlin/org/godwitwick/core/admission/DemandTable.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/admission/DemandTable.kt
@@ -22,7 +22,7 @@
 )
 
 /** Demand of all instances as one of them knows it; decides on its part of every limit. */
-class DemandTable(private val own: InstanceId, private val startedAtMs: Long) {
+class DemandTable(private val own: InstanceId, private var startedAtMs: Long) {
     private class Row(val demand: Demand, val receivedAtMs: Long)
 
     private val rows = HashMap<InstanceId, Row>()
@@ -54,8 +54,14 @@
         published = demand
     }
 
-    /** Forgets all peers, as after a pause of the process. */
-    fun clear() = rows.clear()
+    /**
+     * Forgets all peers and starts anew, as after a pause of the process or a time cut off: the others may have stopped counting
+     * this instance, so that even its floor would come on top of their parts.
+     */
+    fun restart(nowMs: Long) {
+        rows.clear()
+        startedAtMs = nowMs
+    }
 
     /**
      * Instances over which limits are split: a shrinking list takes effect only after an instance that left it without noticing
--- a/core/src/test/kotlin/org/godwitwick/core/admission/AdmissionControllerTest.kt
+++ b/core/src/test/kotlin/org/godwitwick/core/admission/AdmissionControllerTest.kt
@@ -28,9 +28,9 @@
             if (field == ConfigField.QUEUE_MAX) "20" else field.defaultValue
     }
 
-    private fun controller(config: ConfigView = BuiltInConfig, longReads: Int = 2, startMs: Long = -60_000) =
+    private fun controller(config: ConfigView = BuiltInConfig, longReads: Int = 2) =
         AdmissionController<Int>(AdmissionConfig({ config }, "menu", "a"), Random(1)).apply {
-            onCapacity(AdmissionCapacity(4, 20_000.0, 1.0, longReads), startMs)
+            onCapacity(AdmissionCapacity(4, 20_000.0, 1.0, longReads), 0)
         }
 
     private fun request(promptClass: PromptClass, tokens: Long, deadlineMs: Long = 600_000, organisation: String = "bakery") =
@@ -85,6 +85,14 @@
         expectThat(controller.release(59_000)).single().and { get { failure?.kind }.isEqualTo(ErrorKind.DEADLINE_EXCEEDED) }
     }
 
+    // Guards against refusing the first long reads of an instance or model that has just started.
+    @Test
+    fun `the first capacity starts no recovery`() {
+        val controller = controller()
+        expectThat(controller.arrive(request(PromptClass.LONG, 50_000), 0, 0)).isEmpty()
+        expectThat(controller.release(0).size).isEqualTo(1)
+    }
+
     // Guards against medium requests that wait for ever behind a steady stream of short ones.
     @Test
     fun `a medium request is not starved by short ones`() {
@@ -115,7 +123,11 @@
     // Guards against a second outage when everyone who waited comes back at once: the window grows and long reads come last.
     @Test
     fun `after an outage short requests start slowly and long reads wait`() {
-        val controller = controller(startMs = 0)
+        val capacity = AdmissionCapacity(4, 20_000.0, 1.0, 2)
+        val controller = AdmissionController<Int>(AdmissionConfig({ BuiltInConfig }, "menu", "a"), Random(1))
+        val outage = controller.arrive(request(PromptClass.SHORT, 4_000), 0, -10)
+        expectThat(outage).single().and { get { failure?.kind }.isEqualTo(ErrorKind.NO_UPSTREAM) }
+        controller.onCapacity(capacity, 0)
         repeat(200) { controller.arrive(request(PromptClass.SHORT, 4_000), it, 0) }
         val atOnce = controller.release(0).count { it.failure == null }
         expectThat(atOnce).isGreaterThan(0).isLessThanOrEqualTo(6)
--- a/core/src/test/kotlin/org/godwitwick/core/admission/DemandTableTest.kt
+++ b/core/src/test/kotlin/org/godwitwick/core/admission/DemandTableTest.kt
@@ -77,6 +77,21 @@
         expectThat(total(tables, 31_000)).isLessThanOrEqualTo(1_000.0001)
     }
 
+    // Guards against a floor on top of the whole limit that the others share since the list dropped the instance.
+    @Test
+    fun `an instance that was dropped from the list and returns gets nothing until it is counted in`() {
+        val tables = tables(4)
+        exchange(tables, listOf(0, 1, 2, 3), 10_000) { 1.0 }
+        tables.drop(1).forEach { it.onList(ids.drop(1).toSet(), 11_000) }
+        exchange(tables, listOf(1, 2, 3), 20_000) { 1.0 }
+        tables[0].restart(20_000)
+        expectThat(total(tables, 20_000)).isLessThanOrEqualTo(1_000.0001)
+        tables.forEach { it.onList(ids.toSet(), 21_000) }
+        exchange(tables, listOf(0, 1, 2, 3), 21_000) { 1.0 }
+        expectThat(tables[0].shareOf(1_000.0, bakery, 21_000)).isGreaterThan(0.0)
+        expectThat(total(tables, 21_000)).isLessThanOrEqualTo(1_000.0001)
+    }
+
     // Guards against raising the others' parts while an instance that vanished from the list may still admit.
     @Test
     fun `a shrinking list takes effect only after the hold`() {
--- a/node/src/main/kotlin/org/godwitwick/node/control/AdmissionGate.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/control/AdmissionGate.kt
@@ -81,9 +81,9 @@
     /** Whether the other instances count this one in; until then every organisation's part is zero. On the control thread. */
     fun isSettled(): Boolean = table.isSettled(nowMs())
 
-    /** Forgets peers and admits slowly at first, as after a pause of the process; on the control thread. */
+    /** Starts anew and admits slowly at first: after a pause of the process, or when it was cut off. On the control thread. */
     fun onResumed() {
-        table.clear()
+        table.restart(nowMs())
         controllers.values.forEach { it.startRecovery(nowMs()) }
     }
 
--- a/node/src/test/kotlin/org/godwitwick/node/control/AdmissionGateTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/control/AdmissionGateTest.kt
@@ -42,10 +42,6 @@
             directory.onList(listOf(engine, entry))
             gate.onList(listOf(engine, entry))
         }.join()
-        // The first capacity starts a recovery; the tests are about the time after it.
-        control.post { }
-        admit(request("r0")).getOrThrow { IllegalStateException(it.message) }.close()
-        clock.addAndGet(10_000)
     }
 
     private fun request(id: String, promptClass: PromptClass = PromptClass.SHORT, timeoutMs: Long = 30_000) = GenerateRequest(
