Publish, follow and audit the configuration, and talk to peers over TCP

A refused frame first ended the accepting of all peers, because the address of a closed socket was read in the handler; connections now fail on their own. The publication service answers by what it read from the log and says when the outcome isn't known.

--- a/cli/src/main/kotlin/org/godwitwick/cli/ServeCommand.kt
+++ b/cli/src/main/kotlin/org/godwitwick/cli/ServeCommand.kt
@@ -2,10 +2,10 @@
 
 import com.github.michaelbull.result.getOrElse
 import org.godwitwick.node.entry.EntryNode
-import org.godwitwick.node.settings.KeyFile
-import org.godwitwick.node.settings.NodeSettings
 import org.godwitwick.node.settings.SettingsFault
-import org.godwitwick.node.settings.readJsonFile
+import org.godwitwick.node.settings.readKeyFile
+import org.godwitwick.node.settings.readNodeSettings
+import org.godwitwick.node.settings.readPeerSecret
 import picocli.CommandLine.Command
 import picocli.CommandLine.Parameters
 import java.nio.file.Path
@@ -19,10 +19,13 @@
     lateinit var settingsPath: Path
 
     override fun call(): Int {
-        val settings = readJsonFile(settingsPath, NodeSettings.serializer()).getOrElse { return report(it) }
+        val settings = readNodeSettings(settingsPath).getOrElse { return report(it) }
         val keysPath = settingsPath.resolveSibling(settings.keysFile)
-        val keys = readJsonFile(keysPath, KeyFile.serializer()).getOrElse { return report(it) }
-        val node = EntryNode(settings, keys)
+        val keys = readKeyFile(keysPath).getOrElse { return report(it) }
+        val secret = settings.peerSecretFile?.let { file ->
+            readPeerSecret(settingsPath.resolveSibling(file)).getOrElse { return report(it) }
+        }
+        val node = EntryNode(settings, keys, secret)
         val stopped = CountDownLatch(1)
         Runtime.getRuntime().addShutdownHook(
             Thread {
--- /dev/null
+++ b/cli/src/main/kotlin/org/godwitwick/cli/ShowCommand.kt
@@ -0,0 +1,15 @@
+package org.godwitwick.cli
+
+import picocli.CommandLine.Command
+
+/** Shows the configuration in force. */
+@Command(
+    name = "show",
+    mixinStandardHelpOptions = true,
+    description = ["Shows the configuration in force."],
+    exitCodeListHeading = "Exit codes:%n",
+    exitCodeList = ["0:success", "1:not reached or refused", "2:bad usage"],
+)
+class ShowCommand : AdminCommand() {
+    override fun call(): Int = show("/admin/v1/config", AdminText::config)
+}
--- a/node/src/main/kotlin/org/godwitwick/node/peer/PeerServer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/PeerServer.kt
@@ -7,6 +7,7 @@
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.connection
+import io.ktor.network.sockets.isClosed
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
@@ -44,6 +45,7 @@
                 val accepted = try {
                     socket.accept()
                 } catch (e: IOException) {
+                    if (socket.isClosed) return@launch
                     // Accepting may fail for a while, for example without free file descriptors.
                     log.warn("peer: accept failed: {}", e.message)
                     delay(ACCEPT_RETRY_MS)
@@ -54,7 +56,8 @@
                     accepted.close()
                     continue
                 }
-                launch { serve(accepted.connection()) }.invokeOnCompletion { open.decrementAndGet() }
+                // Each connection runs on its own in the scope, so that its failure can't end the accepting.
+                scope.launch { serve(accepted.connection()) }.invokeOnCompletion { open.decrementAndGet() }
             }
         }
     }
@@ -64,6 +67,7 @@
     }
 
     private suspend fun serve(connection: Connection) {
+        val address = addressOf(connection)
         val replies = boundedQueue<Reply>(limits)
         try {
             connection.socket.use {
@@ -78,7 +82,7 @@
             }
         } catch (e: RefusedFrame) {
             refused.incrementAndGet()
-            log.warn("peer: frame from {} refused: {}", connection.socket.remoteAddress, e.refusal)
+            log.warn("peer: frame from {} refused: {}", address, e.refusal)
         } catch (e: CancellationException) {
             log.debug("peer: connection closed: {}", e.message)
         } catch (e: IOException) {
@@ -88,6 +92,13 @@
         }
     }
 
+    // A closed socket has no address any more, so it is read first, and a peer may have closed it already.
+    private fun addressOf(connection: Connection): String = try {
+        connection.socket.remoteAddress.toString()
+    } catch (_: IOException) {
+        "a closed connection"
+    }
+
     private fun take(frame: PeerFrame, replies: Channel<Reply>) {
         val header = frame.header
         when (header.kind) {
--- a/node/src/main/kotlin/org/godwitwick/node/peer/PeerTransport.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/PeerTransport.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
@@ -48,7 +49,8 @@
     private val io = Executors.newFixedThreadPool(IO_THREADS) { Thread(it, "peer-io").apply { isDaemon = true } }
     private val dispatcher = io.asCoroutineDispatcher()
     private val selector = SelectorManager(dispatcher)
-    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
+    private val unexpected = CoroutineExceptionHandler { _, e -> log.error("peer: connection failed", e) }
+    private val scope = CoroutineScope(SupervisorJob() + dispatcher + unexpected)
     private val handlerPool = ThreadPoolExecutor(
         limits.handlerThreads,
         limits.handlerThreads,
@@ -148,6 +150,9 @@
         // A newer version may send messages that this one doesn't know.
         log.warn("peer: message from {} not understood: {}", frame.header.from, e.message)
         null
+    } catch (e: RejectedExecutionException) {
+        log.debug("peer: message from {} not handled, this instance stops: {}", frame.header.from, e.message)
+        null
     } catch (e: RuntimeException) {
         log.error("peer: handler failed for a message from {}", frame.header.from, e)
         null
--- a/node/src/main/kotlin/org/godwitwick/node/settings/NodeSettings.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/settings/NodeSettings.kt
@@ -11,6 +11,8 @@
  * @property peerPort port for traffic between instances; 0 takes a free one.
  * @property peerSecretFile file with the shared secret of the instances.
  * @property keysFile file with the hashes of callers' and operators' keys.
+ * @property cutOffGraceMs time after the last confirmation of the configuration from which a cut-off instance refuses new work.
+ * @property logRetentionMs how long the platform's log keeps a record.
  * @property workerThreads threads that serve requests; each streamed answer holds one.
  */
 @Serializable
@@ -31,6 +33,8 @@
     val drainNoticeMs: Long = 3_000,
     val defaultTimeoutMs: Long = 60_000,
     val stallTimeoutMs: Long = 10_000,
+    val cutOffGraceMs: Long = 4_000,
+    val logRetentionMs: Long = 86_400_000,
 )
 
 /** Content of a key file. */
--- /dev/null
+++ b/node/src/test/kotlin/org/godwitwick/node/admin/AdminRoutesTest.kt
@@ -0,0 +1,149 @@
+package org.godwitwick.node.admin
+
+import kotlinx.serialization.json.Json
+import org.godwitwick.core.config.Publication
+import org.godwitwick.core.model.InstanceId
+import org.godwitwick.core.model.ListedInstance
+import org.godwitwick.core.model.ListedKind
+import org.godwitwick.node.await
+import org.godwitwick.node.config.ConfigBounds
+import org.godwitwick.node.config.ConfigSystem
+import org.godwitwick.node.config.PublicationWaits
+import org.godwitwick.node.config.queueMax
+import org.godwitwick.node.control.ControlThread
+import org.godwitwick.node.http.refuseUnconfirmed
+import org.godwitwick.node.peer.Peer
+import org.godwitwick.node.platform.MemoryLog
+import org.godwitwick.node.security.KeyEntry
+import org.godwitwick.node.security.KeyRing
+import org.godwitwick.node.security.sha256Hex
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.http4k.core.then
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
+
+class AdminRoutesTest {
+    private val control = ControlThread()
+    private val log = MemoryLog()
+    private val list = listOf("entry-1", "entry-2", "entry-3").map {
+        ListedInstance(
+            InstanceId(it),
+            ListedKind.ENTRY,
+            address = "unused",
+            region = "r",
+            dataCentre = if (it ==
+                "entry-1"
+            ) {
+                "a"
+            } else {
+                "b"
+            },
+        )
+    }
+
+    // A list of this instance alone lets it append; the routes show the others too.
+    private var listed = list.take(1)
+    private val config = ConfigSystem(
+        self = Peer(InstanceId("entry-1"), "r", "a"),
+        incarnation = 1,
+        secret = null,
+        platformLog = log,
+        listed = { listed },
+        control = control,
+        bounds = ConfigBounds(),
+        host = "127.0.0.1",
+        peerPort = 0,
+        waits = PublicationWaits(inForceMs = 1),
+    ).apply { start() }
+    private val keys =
+        KeyRing(listOf(KeyEntry(sha256Hex("op"), operator = "maarja"), KeyEntry(sha256Hex("org"), organisation = "studio")))
+    private val routes = AdminRoutes(keys, config, control) { listed }.routes()
+
+    @AfterEach
+    fun close() {
+        config.close()
+        control.close()
+    }
+
+    private fun publish(publication: Publication): Response = routes(
+        Request(
+            Method.POST,
+            "/admin/v1/publications",
+        ).header("Authorization", "Bearer op").body(Json.encodeToString(publication)),
+    )
+
+    private fun get(path: String, key: String = "op") = routes(Request(Method.GET, path).header("Authorization", "Bearer $key"))
+
+    private fun awaitAppendable() = await("a confirmed majority") { publish(queueMax("probe", 5)).status == Status.OK }
+
+    // Guards against callers or strangers reading or changing how the fleet is run, and operators publishing in another's name.
+    @Test
+    fun `only operators are let in and only under their own name`() {
+        listOf("config", "history", "upstreams", "instances", "audit").forEach {
+            expectThat(get("/admin/v1/$it", key = "org").status.code).isEqualTo(403)
+            expectThat(get("/admin/v1/$it", key = "wrong").status.code).isEqualTo(401)
+            expectThat(get("/admin/v1/$it").status.code).isEqualTo(200)
+        }
+        expectThat(publish(queueMax("a", 5, author = "jaan")).status.code).isEqualTo(403)
+    }
+
+    // Guards against an auditor missing an exception, what it replaces, or an instance that runs on something else.
+    @Test
+    fun `the audit shows defaults, exceptions with reason and effect, and instances that are behind`() {
+        awaitAppendable()
+        val default = queueMax("probe", 5).changes[0]
+        val exception = Publication(
+            "e",
+            "maarja",
+            1_000,
+            "festival week",
+            listOf(default.copy(scope = org.godwitwick.core.config.ConfigScope("class:long"))),
+        )
+        expectThat(publish(exception).status.code).isEqualTo(200)
+        listed = list
+        await("members of the new list") { config.peers.members.size == 3 }
+        val audit = Json.decodeFromString<AuditAnswer>(get("/admin/v1/audit").bodyString())
+        expectThat(audit.exceptions.single()).and {
+            get { exception.reason }.isEqualTo("festival week")
+            get { exception.author }.isEqualTo("maarja")
+            get { replacedDefault.toString() }.isEqualTo("5")
+        }
+        expectThat(audit.defaults.first { it.name == "admission.queueMax" }.version).isEqualTo(0)
+        expectThat(audit.notAtNewest.map { it.id }).containsExactly("entry-2", "entry-3")
+    }
+
+    // Guards against a conflict or a fault being answered without what the operator needs to repair it.
+    @Test
+    fun `refused publications name the entry, the author and all faults`() {
+        awaitAppendable()
+        val conflict = publish(queueMax("b", 6))
+        expectThat(conflict.status.code).isEqualTo(409)
+        expectThat(conflict.bodyString()).contains("\"changedBy\":\"maarja\"").contains("\"kind\":\"conflict\"")
+        val invalid = publish(queueMax("c", -1, expected = -7))
+        expectThat(invalid.status.code).isEqualTo(400)
+        expectThat(Json.decodeFromString<PublishFailure>(invalid.bodyString()).faults.map { it.field })
+            .containsExactly("changes[0].expectedVersion", "changes[0].value")
+        val unknownField = Request(Method.POST, "/admin/v1/publications").header("Authorization", "Bearer op").body("{\"ide\":1}")
+        expectThat(routes(unknownField).status.code).isEqualTo(400)
+        expectThat(publish(queueMax("d", 1).copy(reason = "x".repeat(70_000))).status.code).isEqualTo(413)
+        log.isDown = true
+        expectThat(publish(queueMax("f", 6, expected = 0)).bodyString()).contains("log_unavailable").contains("\"ran\":\"no\"")
+    }
+
+    // Guards against new work on a configuration that may have been replaced, and against requests in flight that can't be cancelled.
+    @Test
+    fun `a cut-off instance refuses new work and still cancels`() {
+        val guarded = refuseUnconfirmed { true }.then { Response(Status.OK) }
+        val refused = guarded(Request(Method.POST, "/v1/completions"))
+        expectThat(refused.status.code).isEqualTo(503)
+        expectThat(refused.bodyString()).contains("config_unconfirmed").contains("\"ran\":\"no\"")
+        expectThat(guarded(Request(Method.POST, "/v1/requests/x/cancel")).status).isEqualTo(Status.OK)
+    }
+}
--- /dev/null
+++ b/node/src/test/kotlin/org/godwitwick/node/peer/PeerTransportTest.kt
@@ -0,0 +1,171 @@
+package org.godwitwick.node.peer
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import org.godwitwick.core.model.InstanceId
+import org.godwitwick.node.await
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import java.io.DataOutputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
+import kotlin.concurrent.thread
+
+class PeerTransportTest {
+    private val opened = CopyOnWriteArrayList<AutoCloseable>()
+    private val addresses = ConcurrentHashMap<InstanceId, String>()
+    private val limits = PeerLimits(silentMs = 300, pingMs = 50, queueFrames = 4)
+
+    @AfterEach
+    fun closeAll() = opened.forEach { it.close() }
+
+    private fun transport(id: String, secret: String = "secret"): PeerTransport {
+        val directory = object : PeerDirectory {
+            override fun addressOf(id: InstanceId) = addresses[id]
+
+            override fun livePeers() = emptyList<Peer>()
+        }
+        val transport = PeerTransport(PeerIdentity(InstanceId(id), 1, secret.toByteArray()), directory, limits)
+        transport.start("127.0.0.1", 0)
+        addresses[InstanceId(id)] = "127.0.0.1:${transport.port}"
+        opened.add(transport)
+        return transport
+    }
+
+    private fun answering(id: String, secret: String = "secret") = transport(id, secret).also { transport ->
+        transport.handle(ConfigPull::class.java) { _, pull -> ConfigPullAnswer(pull.fromOffset + 1, emptyList(), null, -1, 0) }
+    }
+
+    private fun PeerTransport.pull(to: String, fromOffset: Long, timeoutMs: Long = 20_000) =
+        request(InstanceId(to), ConfigPull(fromOffset), timeoutMs)
+
+    // Guards against answers being given to another request of the same connection.
+    @Test
+    fun `each of many concurrent requests gets its own answer`() {
+        val a = transport("a")
+        answering("b")
+        val answers = ConcurrentHashMap<Long, Long?>()
+        List(4) { worker ->
+            thread {
+                repeat(50) { i ->
+                    val asked = worker * 1_000L + i
+                    answers[asked] = (a.pull("b", asked).get() as? ConfigPullAnswer)?.nextOffset ?: -1
+                }
+            }
+        }.forEach { it.join() }
+        expectThat(answers).isEqualTo(ConcurrentHashMap(answers.keys.associateWith { it + 1 }))
+    }
+
+    // Guards against a process without the secret being heard.
+    @Test
+    fun `a peer with another secret gets no answer`() {
+        val b = answering("b")
+        val stranger = transport("a", secret = "other")
+        expectThat(stranger.pull("b", 1).getError()).isA<PeerFailure.NoAnswer>()
+        await("a refusal") { b.refusedFrames == 1L }
+    }
+
+    // Guards against replays over the wire and against lengths that exhaust memory or cut a frame.
+    @Test
+    fun `replayed, oversized and truncated frames on the wire are refused and the instance goes on serving`() {
+        val b = answering("b")
+        val codec = FrameCodec("secret".toByteArray(), limits.maxFrameBytes)
+        val header = FrameHeader("a", "b", 1, 999, System.currentTimeMillis(), FrameKind.PING, 0)
+        val frame = checkNotNull(codec.encode(header, EMPTY).get())
+        send(b, frame.size, frame, expectAnswer = true)
+        send(b, frame.size, frame, expectAnswer = false)
+        send(b, limits.maxFrameBytes + 1, frame, expectAnswer = false)
+        send(b, -1, frame, expectAnswer = false)
+        send(b, frame.size - 3, frame, expectAnswer = false)
+        await("four refusals") { b.refusedFrames == 4L }
+        expectThat((transport("c").pull("b", 1).get() as ConfigPullAnswer).nextOffset).isEqualTo(2)
+    }
+
+    private fun send(to: PeerTransport, length: Int, frame: ByteArray, expectAnswer: Boolean) {
+        Socket(InetAddress.getLoopbackAddress(), to.port).use { socket ->
+            DataOutputStream(socket.getOutputStream()).apply {
+                writeInt(length)
+                write(frame)
+                flush()
+            }
+            socket.soTimeout = 20_000
+            expectThat(socket.getInputStream().read() >= 0).isEqualTo(expectAnswer)
+        }
+    }
+
+    // Guards against an open connection that permanently stopped delivering being used for ever.
+    @Test
+    fun `a silent connection is closed and a new one works`() {
+        val a = transport("a")
+        val b = answering("b")
+        val silent = SilentFirstProxy(b.port).also(opened::add)
+        addresses[InstanceId("b")] = "127.0.0.1:${silent.port}"
+        expectThat(a.pull("b", 1).getError()).isA<PeerFailure.NoAnswer>().get { message.contains("silent") }.isEqualTo(true)
+        expectThat((a.pull("b", 2).get() as ConfigPullAnswer).nextOffset).isEqualTo(3)
+        expectThat(silent.connections).isEqualTo(2)
+    }
+
+    // Guards against unbounded memory for an unreachable peer, and against "not sent" being said of a frame that was written.
+    @Test
+    fun `an unreachable peer costs a bounded queue and its requests are known as not sent`() {
+        val a = transport("a")
+        addresses[InstanceId("b")] = "127.0.0.1:1"
+        expectThat(a.pull("b", 1).getError()).isA<PeerFailure.NotSent>()
+        expectThat(a.pull("unknown", 1).getError()).isA<PeerFailure.NotSent>()
+    }
+
+    // Guards against a slow handler being taken for a silent connection.
+    @Test
+    fun `a handler slower than the silence bound still answers`() {
+        val a = transport("a")
+        val release = CountDownLatch(1)
+        val b = transport("b").also {
+            it.handle(ConfigPull::class.java) { _, _ ->
+                release.await()
+                ConfigPullAnswer(9, emptyList(), null, -1, 0)
+            }
+        }
+        val startNs = System.nanoTime()
+        val answer = a.ask(InstanceId("b"), ConfigPull(0), 20_000)
+        await("three silence bounds") { System.nanoTime() - startNs > 3 * limits.silentMs * 1_000_000 }
+        release.countDown()
+        expectThat((answer.get().get() as ConfigPullAnswer).nextOffset).isEqualTo(9)
+        expectThat(b.port).isGreaterThan(0)
+    }
+
+    /** Accepts connections; the first one swallows all bytes, later ones reach [target]. */
+    private class SilentFirstProxy(private val target: Int) : AutoCloseable {
+        private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+        val port: Int get() = server.localPort
+
+        @Volatile
+        var connections = 0
+
+        init {
+            thread(isDaemon = true) {
+                while (!server.isClosed) {
+                    val accepted = runCatching { server.accept() }.getOrNull() ?: break
+                    connections++
+                    if (connections == 1) continue
+                    val onward = Socket(InetAddress.getLoopbackAddress(), target)
+                    pipe(accepted, onward)
+                    pipe(onward, accepted)
+                }
+            }
+        }
+
+        private fun pipe(from: Socket, to: Socket) = thread(isDaemon = true) {
+            runCatching { from.getInputStream().transferTo(to.getOutputStream()) }
+        }
+
+        override fun close() = server.close()
+    }
+}
