--- a/node/src/main/kotlin/org/godwitwick/node/peer/PeerConnection.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/PeerConnection.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.get
+import com.github.michaelbull.result.onOk
 import io.ktor.network.sockets.Connection
 import io.ktor.utils.io.readByteArray
 import io.ktor.utils.io.readInt
@@ -9,6 +10,8 @@
 import io.ktor.utils.io.writeInt
 import kotlinx.coroutines.channels.Channel
 import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
 
 /** Encodes, verifies and counts the frames of this instance; shared by all connections. */
 internal class FrameGate(
@@ -19,11 +22,15 @@
     private val nowMs: () -> Long,
 ) {
     private val guard = ReplayGuard(self, limits.maxSkewMs)
-    private val sequences = java.util.concurrent.ConcurrentHashMap<String, java.util.concurrent.atomic.AtomicLong>()
+    private val sequences = ConcurrentHashMap<String, AtomicLong>()
+
+    /** Bytes of all frames for sending, lengths included. */
+    val sentBytes = AtomicLong()
 
     fun encode(to: String, kind: FrameKind, correlation: Long, body: ByteArray): Result<ByteArray, FrameRefusal> {
-        val sequence = sequences.computeIfAbsent(to) { java.util.concurrent.atomic.AtomicLong() }.getAndIncrement()
+        val sequence = sequences.computeIfAbsent(to) { AtomicLong() }.getAndIncrement()
         return codec.encode(FrameHeader(self, to, incarnation, sequence, nowMs(), kind, correlation), body)
+            .onOk { sentBytes.addAndGet(it.size + Int.SIZE_BYTES.toLong()) }
     }
 
     /** Reads one frame; a refused one ends the connection, because nothing after it can be trusted. */
--- a/node/src/main/kotlin/org/godwitwick/node/peer/PeerTransport.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/PeerTransport.kt
@@ -62,7 +62,6 @@
     private val links = ConcurrentHashMap<String, PeerLink>()
     private val correlations = AtomicLong()
     private val server = PeerServer(gate, limits, ::dispatch)
-    private val bytesOut = AtomicLong()
 
     /** Port on which peers are accepted, after [start]. */
     val port: Int get() = server.port
@@ -70,8 +69,8 @@
     /** Frames of peers that were refused. */
     val refusedFrames: Long get() = server.refused.get()
 
-    /** Bytes of message bodies that were queued for sending, without frames' headers. */
-    val sentBytes: Long get() = bytesOut.get()
+    /** Bytes that were sent to peers, without those of TCP. */
+    val sentBytes: Long get() = gate.sentBytes.get()
 
     /** Accepts peers on [host] and [port]; port 0 takes a free one. */
     fun start(host: String, port: Int) {
@@ -122,7 +121,6 @@
             frame.fail("no address of $to")
             return
         }
-        bytesOut.addAndGet(frame.body.size.toLong())
         if (!linkTo(to.value, address).offer(frame)) frame.fail("queue to $to is full")
     }
 
--- a/node/src/test/kotlin/org/godwitwick/node/config/ConfigFleetTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/config/ConfigFleetTest.kt
@@ -26,6 +26,7 @@
 import strikt.assertions.isA
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 import java.util.concurrent.CopyOnWriteArrayList
 
 class ConfigFleetTest {
@@ -110,13 +111,19 @@
         }
         expectThat(instances.map { it.queueMax }.toSet()).isEqualTo(setOf(77L))
         val startNs = System.nanoTime()
+        val sentBefore = sentBytes()
         await("five seconds of service") {
             System.nanoTime() - startNs > 5_000_000_000 ||
                 instances.any { it.system.follower.refusesWork() }
         }
         expectThat(instances.filter { it.system.follower.refusesWork() }.map { it.id }).isEmpty()
+        val perSecond = (sentBytes() - sentBefore) * 1_000_000_000 / (System.nanoTime() - startNs) / instances.size
+        println("peer bytes sent per instance and second: $perSecond")
+        expectThat(perSecond).isLessThan(MAX_BYTES_PER_SECOND)
     }
 
+    private fun sentBytes() = instances.sumOf { checkNotNull(it.system.peers.transport).sentBytes }
+
     // Guards against a log outage stopping the fleet, an instance that starts in it serving defaults, and one alone serving on.
     @Test
     fun `in a log outage instances go on, a new one starts from its peers and an isolated one refuses`() {
@@ -178,4 +185,9 @@
         owner.onControl { owner.system.peers.rows.publishUrgent(RowTopic.SUSPICION, "fingerprint", byteArrayOf(1)) }
         await("everywhere") { instances.all { it.onControl { it.system.peers.rows.rows(RowTopic.SUSPICION) }.size == 1 } }
     }
+
+    private companion object {
+        // Control traffic of an instance is limited to 16 KB/s.
+        const val MAX_BYTES_PER_SECOND = 16_384L
+    }
 }
