--- a/cli/src/main/kotlin/org/godwitwick/cli/ServeCommand.kt
+++ b/cli/src/main/kotlin/org/godwitwick/cli/ServeCommand.kt
@@ -2,11 +2,10 @@
 
 import com.github.michaelbull.result.getOrElse
 import org.godwitwick.node.entry.EntryNode
-import org.godwitwick.node.settings.KeyFile
-import org.godwitwick.node.settings.NodeSettings
 import org.godwitwick.node.settings.SettingsFault
-import org.godwitwick.node.settings.readJsonFile
-import org.godwitwick.node.settings.readSecret
+import org.godwitwick.node.settings.readKeyFile
+import org.godwitwick.node.settings.readNodeSettings
+import org.godwitwick.node.settings.readPeerSecret
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
 import picocli.CommandLine.Parameters
@@ -29,11 +28,11 @@
 
     override fun call(): Int {
         logFormat?.let { System.setProperty(LOG_FORMAT_PROPERTY, it.name.lowercase()) }
-        val settings = readJsonFile(settingsPath, NodeSettings.serializer()).getOrElse { return report(it) }
+        val settings = readNodeSettings(settingsPath).getOrElse { return report(it) }
         val keysPath = settingsPath.resolveSibling(settings.keysFile)
-        val keys = readJsonFile(keysPath, KeyFile.serializer()).getOrElse { return report(it) }
-        val secret = settings.peerSecretFile?.let {
-            readSecret(settingsPath.resolveSibling(it)).getOrElse { fault -> return report(fault) }
+        val keys = readKeyFile(keysPath).getOrElse { return report(it) }
+        val secret = settings.peerSecretFile?.let { file ->
+            readPeerSecret(settingsPath.resolveSibling(file)).getOrElse { return report(it) }
         }
         return serve(EntryNode(settings, keys, secret))
     }
--- a/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
@@ -4,6 +4,7 @@
 import okhttp3.Dispatcher
 import okhttp3.OkHttpClient
 import org.godwitwick.core.model.InstanceId
+import org.godwitwick.node.admin.AdminRoutes
 import org.godwitwick.node.config.ConfigBounds
 import org.godwitwick.node.config.ConfigSystem
 import org.godwitwick.node.control.ControlThread
@@ -18,6 +19,7 @@
 import org.godwitwick.node.platform.HttpInstanceList
 import org.godwitwick.node.platform.HttpPlatformLog
 import org.godwitwick.node.platform.ListPoller
+import org.godwitwick.node.platform.PlatformLog
 import org.godwitwick.node.security.KeyRing
 import org.godwitwick.node.settings.KeyFile
 import org.godwitwick.node.settings.NodeSettings
@@ -33,8 +35,14 @@
  * One entry instance: the library that the `serve` command runs.
  *
  * @param peerSecret the shared secret of the instances, or null for an instance that runs alone.
+ * @param platformLog the platform's log, or null for the one at the address of the settings.
  */
-class EntryNode(private val settings: NodeSettings, keyFile: KeyFile, peerSecret: ByteArray? = null) : AutoCloseable {
+class EntryNode(
+    private val settings: NodeSettings,
+    keyFile: KeyFile,
+    peerSecret: ByteArray? = null,
+    platformLog: PlatformLog? = null,
+) : AutoCloseable {
     private val metrics = NodeMetrics()
     private val inFlight = InFlight()
 
@@ -47,15 +55,15 @@
     private val control = ControlThread(metrics::controlQueueDelay)
     private val client = upstreamClient(settings)
     private val list = ListPoller(HttpInstanceList(client, settings.instanceListUrl), settings.listPollMs)
-    private val platformLog = HttpPlatformLog(client, settings.logUrl)
+    private val records = platformLog ?: HttpPlatformLog(client, settings.logUrl)
     private val config = ConfigSystem(
         self,
         incarnation,
         peerSecret,
-        platformLog,
+        records,
         list::instances,
         control,
-        ConfigBounds(),
+        ConfigBounds(settings.cutOffGraceMs, settings.logRetentionMs),
         settings.host,
         settings.peerPort,
     )
@@ -87,7 +95,7 @@
         config = config::view,
         listed = list::instances,
         nowMs = System::currentTimeMillis,
-        log = platformLog,
+        log = records,
     )
     private val server: Http4kServer = StreamingUndertow(
         settings.host,
@@ -97,7 +105,12 @@
         isClosing = drain::isDraining,
         writeTimeoutMs = settings.stallTimeoutMs,
     ).toServer(
-        routes(callers.routes(), newWork.filter().then(services.routes()), OperationRoutes(readiness, metrics).routes()),
+        routes(
+            callers.routes(),
+            newWork.filter().then(services.routes()),
+            AdminRoutes(keys, config, control, list::instances).routes(),
+            OperationRoutes(readiness, metrics).routes(),
+        ),
     )
 
     /** The path to the engines. */
--- a/node/src/main/kotlin/org/godwitwick/node/http/CallerRoutes.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/CallerRoutes.kt
@@ -45,22 +45,28 @@
 ) {
     /** All routes of this part. */
     fun routes(): RoutingHttpHandler = routes(
-        "/v1/completions" bind Method.POST to forCaller(::complete),
-        "/v1/chat/completions" bind Method.POST to forCaller(::chat),
-        "/v1/requests/{id}/cancel" bind Method.POST to forCaller(::cancel),
+        "/v1/completions" bind Method.POST to forCaller(isNewWork = true, ::complete),
+        "/v1/chat/completions" bind Method.POST to forCaller(isNewWork = true, ::chat),
+        "/v1/requests/{id}/cancel" bind Method.POST to forCaller(isNewWork = false, ::cancel),
     )
 
-    private fun forCaller(action: (Request, OrganisationId, RequestTrack) -> Response): HttpHandler = { request ->
-        val track = trackOf(request)
-        val refused = refusal()
-        val principal = keys.principalOf(request.header("Authorization"))
-        when {
-            principal is Principal.Caller && refused != null -> track.failed(refused)
-            principal is Principal.Caller -> guarded(track) { action(request, principal.organisation, track) }
-            principal is Principal.Operator -> track.failed(Failure(ErrorKind.FORBIDDEN, "an operator's key can't send requests"))
-            else -> track.failed(Failure(ErrorKind.UNAUTHENTICATED, "no valid key in the Authorization header"))
+    private fun forCaller(isNewWork: Boolean, action: (Request, OrganisationId, RequestTrack) -> Response): HttpHandler =
+        { request ->
+            val track = trackOf(request)
+            val refused = if (isNewWork) refusal() else null
+            val principal = keys.principalOf(request.header("Authorization"))
+            when {
+                principal is Principal.Caller && refused != null -> track.failed(refused)
+
+                principal is Principal.Caller -> guarded(track) { action(request, principal.organisation, track) }
+
+                principal is Principal.Operator -> track.failed(
+                    Failure(ErrorKind.FORBIDDEN, "an operator's key can't send requests"),
+                )
+
+                else -> track.failed(Failure(ErrorKind.UNAUTHENTICATED, "no valid key in the Authorization header"))
+            }
         }
-    }
 
     private fun trackOf(request: Request): RequestTrack {
         val id = RequestIds.of(request.header(REQUEST_ID_HEADER))
--- a/node/src/main/kotlin/org/godwitwick/node/peer/PeerTransport.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/PeerTransport.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
@@ -48,7 +49,8 @@
     private val io = Executors.newFixedThreadPool(IO_THREADS) { Thread(it, "peer-io").apply { isDaemon = true } }
     private val dispatcher = io.asCoroutineDispatcher()
     private val selector = SelectorManager(dispatcher)
-    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
+    private val unexpected = CoroutineExceptionHandler { _, e -> log.error("peer: connection failed", e) }
+    private val scope = CoroutineScope(SupervisorJob() + dispatcher + unexpected)
     private val handlerPool = ThreadPoolExecutor(
         limits.handlerThreads,
         limits.handlerThreads,
@@ -60,7 +62,6 @@
     private val links = ConcurrentHashMap<String, PeerLink>()
     private val correlations = AtomicLong()
     private val server = PeerServer(gate, limits, ::dispatch)
-    private val bytesOut = AtomicLong()
 
     /** Port on which peers are accepted, after [start]. */
     val port: Int get() = server.port
@@ -68,8 +69,8 @@
     /** Frames of peers that were refused. */
     val refusedFrames: Long get() = server.refused.get()
 
-    /** Bytes of message bodies that were queued for sending, without frames' headers. */
-    val sentBytes: Long get() = bytesOut.get()
+    /** Bytes that were sent to peers, without those of TCP. */
+    val sentBytes: Long get() = gate.sentBytes.get()
 
     /** Accepts peers on [host] and [port]; port 0 takes a free one. */
     fun start(host: String, port: Int) {
@@ -120,7 +121,6 @@
             frame.fail("no address of $to")
             return
         }
-        bytesOut.addAndGet(frame.body.size.toLong())
         if (!linkTo(to.value, address).offer(frame)) frame.fail("queue to $to is full")
     }
 
@@ -148,6 +148,9 @@
         // A newer version may send messages that this one doesn't know.
         log.warn("peer: message from {} not understood: {}", frame.header.from, e.message)
         null
+    } catch (e: RejectedExecutionException) {
+        log.debug("peer: message from {} not handled, this instance stops: {}", frame.header.from, e.message)
+        null
     } catch (e: RuntimeException) {
         log.error("peer: handler failed for a message from {}", frame.header.from, e)
         null
