Count rulings, ends and appends of the claim path

Operators need to see claims that end unknown, owners that don't answer and gaps in claim streams, none of which shows in the answers of one instance.

--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/claim/ClaimMetrics.kt
@@ -0,0 +1,85 @@
+package org.godwitwick.node.claim
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.CounterWithCallback
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.godwitwick.core.claim.ClaimantState
+import org.godwitwick.node.peer.ClaimRuling
+
+/** Counters of the claim path. All labels have a fixed set of values. */
+class ClaimMetrics(private val registry: PrometheusRegistry) {
+    private val rulings = counter("godwitwick_claim_rulings", "Rulings that claimants of this instance got.", "ruling")
+    private val ends = counter("godwitwick_claim_ends", "Ends of calls that were granted.", "end")
+    private val appends = counter("godwitwick_claim_appends", "Appends to claim streams.", "result")
+    private val entries = counter("godwitwick_claim_entries", "Entries in the appends to claim streams that succeeded.")
+    private val fallbacks =
+        counter("godwitwick_claim_owner_unreachable", "Claims for which the owner of the shard did not answer.")
+    private val gaps = counter("godwitwick_claim_gaps", "Gaps in claim streams: dropped or unreadable records.")
+    private val dropped =
+        counter("godwitwick_claim_entries_dropped", "Ends of calls that were not appended because too many waited.")
+
+    /** Counts a ruling. */
+    fun countRuling(ruling: ClaimRuling) {
+        val label = when (ruling) {
+            is ClaimRuling.Granted -> "granted"
+            is ClaimRuling.Replay -> "replay"
+            ClaimRuling.Pending -> "pending"
+            ClaimRuling.OutcomeUnknown -> "outcome_unknown"
+            ClaimRuling.Mismatch -> "mismatch"
+            ClaimRuling.Expired -> "expired"
+            ClaimRuling.FromFuture -> "from_future"
+            is ClaimRuling.LogUnavailable -> "log_unavailable"
+        }
+        rulings.labelValues(label).inc()
+    }
+
+    /** Counts the end of a granted call. */
+    fun countEnd(state: ClaimantState) {
+        val label = when (state) {
+            is ClaimantState.Done -> "done"
+            ClaimantState.NotRun -> "not_run"
+            ClaimantState.Claimed, ClaimantState.Dispatching, ClaimantState.Unknown -> "unknown"
+        }
+        ends.labelValues(label).inc()
+    }
+
+    /** Counts an append with [entryCount] entries. */
+    fun countAppend(entryCount: Int) {
+        appends.labelValues("ok").inc()
+        entries.inc(entryCount.toLong())
+    }
+
+    /** Counts an append that failed; [isRefused] when it certainly had no effect. */
+    fun countFailedAppend(isRefused: Boolean) = appends.labelValues(if (isRefused) "refused" else "unknown").inc()
+
+    /** Counts a claim for which the owner of the shard did not answer. */
+    fun countFallback() = fallbacks.inc()
+
+    /** Counts a gap in a claim stream. */
+    fun countGap() = gaps.inc()
+
+    /** Counts the end of a call that is not appended. */
+    fun countDropped() = dropped.inc()
+
+    /** Publishes the number of entries that wait for the log. */
+    fun publishWaiting(waiting: () -> Int) {
+        GaugeWithCallback.builder()
+            .name("godwitwick_claim_entries_waiting")
+            .help("Entries of claim streams that wait for the log.")
+            .callback { it.call(waiting().toDouble()) }
+            .register(registry)
+    }
+
+    /** Publishes the number of answers that services gave to another request. */
+    fun publishCrossedAnswers(count: () -> Long) {
+        CounterWithCallback.builder()
+            .name("godwitwick_service_crossed_answers")
+            .help("Answers of services that belonged to another request and were dropped.")
+            .callback { it.call(count().toDouble()) }
+            .register(registry)
+    }
+
+    private fun counter(name: String, help: String, vararg labels: String): Counter =
+        Counter.builder().name(name).help(help).labelNames(*labels).register(registry)
+}
--- a/node/src/main/kotlin/org/godwitwick/node/claim/ClaimService.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/claim/ClaimService.kt
@@ -43,6 +43,7 @@
     private val services: () -> Set<String>,
     private val limits: () -> ClaimLimits,
     private val settings: ClaimSettings,
+    private val metrics: ClaimMetrics,
     private val nowMs: () -> Long,
 ) : ClaimClient,
     AutoCloseable {
@@ -54,6 +55,7 @@
             ClaimAnswer(request.claim.claimId, rule(request.claim, request.timeoutMs))
         }
         peers.handle(ClaimReport::class.java, ::serveReport)
+        metrics.publishWaiting(::waiting)
     }
 
     /** Entries of claim streams that wait for the log. */
@@ -75,6 +77,7 @@
             { it !is PeerFailure.NotSent },
         )
         LOG.warn("claim: owner {} did not answer, appending directly", owner)
+        metrics.countFallback()
         val ruling = rule(claim, (timeoutMs - (nowMs() - startedMs)).coerceAtLeast(0))
         // The owner may still append what it was sent.
         return if (ruling is ClaimRuling.LogUnavailable && isSent) ruling.copy(mayBeAppended = true) else ruling
@@ -146,7 +149,7 @@
     private fun shardOf(key: ClaimKey): ClaimShard = shard(settings.shards.streamOf(key))
 
     private fun shard(stream: String): ClaimShard =
-        shards.computeIfAbsent(stream) { ClaimShard(it, log, settings, limits, workers, nowMs) }
+        shards.computeIfAbsent(stream) { ClaimShard(it, log, settings, limits, workers, metrics, nowMs) }
 
     /** The other instance that owns the shard of [key], or null when this one is to act. */
     private fun ownerOf(key: ClaimKey): InstanceId? = ownerOf(settings.shards.streamOf(key), key.service)
--- a/node/src/main/kotlin/org/godwitwick/node/claim/ClaimShard.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/claim/ClaimShard.kt
@@ -28,6 +28,7 @@
     private val settings: ClaimSettings,
     private val limits: () -> ClaimLimits,
     private val workers: ClaimWorkers,
+    private val metrics: ClaimMetrics,
     private val nowMs: () -> Long,
 ) {
     private val lock = Any()
@@ -36,7 +37,7 @@
     private var lastUsedMs = nowMs()
 
     // Owned by the one running step.
-    private val reader = ShardReader(stream, log, limits)
+    private val reader = ShardReader(stream, log, limits, metrics::countGap)
     private val pacer = AppendPacer(settings.appendsPerSecond, settings.appendBurst)
 
     /** Entries that wait for the log. */
@@ -56,7 +57,10 @@
     /** Appends [entry] as soon as the log takes it. The future ends when the entry is in the log. */
     fun report(entry: ClaimEntry): CompletableFuture<Unit> {
         val item = ShardItem.ForReport(entry, nowMs() + limits().keepMs)
-        if (!enqueue(item)) LOG.error("claim: the end of claim {} was dropped because too many wait for the log", entry.claimId)
+        if (!enqueue(item)) {
+            LOG.error("claim: the end of claim {} was dropped because too many wait for the log", entry.claimId)
+            metrics.countDropped()
+        }
         return item.appended
     }
 
@@ -167,16 +171,10 @@
         if (paceMs > 0) return paceMs
         val attempted = startAttempt(fresh)
         if (attempted.isEmpty()) return 0
-        return log.append(
-            stream,
-            ClaimRecordCodec.encode(
-                attempted.mapNotNull {
-                    it.first.entry
-                },
-            ),
-            settings.appendTimeoutMs,
-        ).fold(
+        val entries = attempted.mapNotNull { it.first.entry }
+        return log.append(stream, ClaimRecordCodec.encode(entries), settings.appendTimeoutMs).fold(
             { offset ->
+                metrics.countAppend(entries.size)
                 synchronized(lock) { attempted.forEach { it.first.offset = offset } }
                 0L
             },
@@ -195,6 +193,7 @@
 
     private fun endFailedAttempt(attempted: List<Pair<ShardItem, Boolean>>, failure: LogFailure): Long {
         LOG.warn("claim: append to {} failed: {}", stream, failure.message)
+        metrics.countFailedAppend(isRefused = failure is LogFailure.NotDone)
         if (failure !is LogFailure.NotDone) return settings.retryDelayMs
         synchronized(lock) { attempted.forEach { (item, before) -> item.mayBeAppended = before } }
         return maxOf(settings.retryDelayMs, failure.retryAfterMs ?: 0)
--- a/node/src/main/kotlin/org/godwitwick/node/claim/ShardReader.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/claim/ShardReader.kt
@@ -13,7 +13,12 @@
 import org.slf4j.LoggerFactory
 
 /** Reads one claim stream into its [index]. Used by one thread at a time. */
-class ShardReader(private val stream: String, private val log: PlatformLog, private val limits: () -> ClaimLimits) {
+class ShardReader(
+    private val stream: String,
+    private val log: PlatformLog,
+    private val limits: () -> ClaimLimits,
+    private val onGap: () -> Unit,
+) {
     /** The fold of the records read so far. */
     val index = ClaimIndex(limits())
 
@@ -50,7 +55,10 @@
             if (record.offset < index.nextOffset) continue
             if (record.offset > index.nextOffset) skipTo(record.offset)
             val entries = ClaimRecordCodec.decode(record.data)
-            if (entries == null) LOG.error("claim: record {} of {} can't be read by this version", record.offset, stream)
+            if (entries == null) {
+                LOG.error("claim: record {} of {} can't be read by this version", record.offset, stream)
+                onGap()
+            }
             index.apply(record.timeMs, entries)
         }
     }
@@ -63,6 +71,7 @@
                 index.nextOffset,
                 offset,
             )
+            onGap()
         }
         index.skipTo(offset)
     }
--- a/node/src/main/kotlin/org/godwitwick/node/entry/ServiceParts.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/entry/ServiceParts.kt
@@ -1,11 +1,13 @@
 package org.godwitwick.node.entry
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry
 import okhttp3.OkHttpClient
 import org.godwitwick.core.claim.ClaimLimits
 import org.godwitwick.core.config.ConfigField
 import org.godwitwick.core.config.ConfigView
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.core.model.ListedInstance
+import org.godwitwick.node.claim.ClaimMetrics
 import org.godwitwick.node.claim.ClaimService
 import org.godwitwick.node.claim.ClaimSettings
 import org.godwitwick.node.claim.OnceCaller
@@ -31,10 +33,12 @@
     nowMs: () -> Long,
     log: PlatformLog = HttpPlatformLog(client, settings.logUrl),
     claimSettings: ClaimSettings = ClaimSettings(),
+    registry: PrometheusRegistry = PrometheusRegistry(),
 ) : AutoCloseable {
     private val self = InstanceId(settings.instanceId)
     private val table = ServiceRouteTable(config)
     private val replicas = ServiceReplicas(listed)
+    private val metrics = ClaimMetrics(registry)
     private val claims = ClaimService(
         self = self,
         region = settings.region,
@@ -44,12 +48,17 @@
         services = { table.withOnceRoutes(replicas.names()) },
         limits = { ClaimLimits(config().whole(ConfigField.CLAIM_WINDOW_MS)) },
         settings = claimSettings,
+        metrics = metrics,
         nowMs = nowMs,
     )
     private val serviceClient = ServiceClient(client)
-    private val once = OnceCaller(self, claims, serviceClient, claimSettings, nowMs)
+    private val once = OnceCaller(self, claims, serviceClient, claimSettings, metrics, nowMs)
     private val serviceRoutes = ServiceRoutes(keys, config, table, replicas, serviceClient, once, nowMs)
 
+    init {
+        metrics.publishCrossedAnswers(serviceClient::crossedAnswers)
+    }
+
     /** The routes of calls to plain services. */
     fun routes(): RoutingHttpHandler = serviceRoutes.routes()
 
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/ServiceClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ServiceClient.kt
@@ -15,6 +15,7 @@
 import org.slf4j.LoggerFactory
 import java.io.IOException
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.LongAdder
 
 /**
  * A call to a plain service.
@@ -50,6 +51,11 @@
         .readTimeout(0, TimeUnit.MILLISECONDS)
         .build()
 
+    private val crossed = LongAdder()
+
+    /** Answers that belonged to another request and were dropped. */
+    val crossedAnswers: Long get() = crossed.sum()
+
     /** Sends an idempotent [call]; the error is one sentence about the cause. */
     fun send(address: String, call: ServiceCall, timeoutMs: Long): Result<ServiceAnswer, String> =
         send(pooled, address, call, WriteGate(), timeoutMs)
@@ -80,6 +86,7 @@
     private fun read(sent: Call, response: Response, call: ServiceCall, gate: WriteGate): Result<ServiceAnswer, String> {
         if (!isAnswerTo(call, response)) {
             sent.cancel()
+            crossed.increment()
             log.warn("http: {} answered request {} with the answer to another", sent.request().url.host, call.id)
             return Err("the service answered another request")
         }
