Report a request lost on a reused connection as 'ran unknown'

A connection that breaks after the request was written is no crash evidence when it was a pooled one, and the same condition also decided what the caller was told: a request that an engine may have received was reported as not run when all later dispatches were refused. Only refusals and connections that were never made count as not run now.

--- a/node/src/main/kotlin/org/godwitwick/node/upstream/RequestRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/RequestRun.kt
@@ -145,9 +145,9 @@
 
     private fun afterFailure(opening: Opening.Failed): Failure? {
         val failure = opening.failure
-        val isAccepted = failure is EngineFailure.Stalled || failure is EngineFailure.Misbehaved ||
-            (failure is EngineFailure.ConnectionLost && failure.wasAccepted)
-        if (isAccepted) mayHaveRun = true
+        // A lost connection may have delivered the request, also where that is no evidence of a crash.
+        val isUncertain = failure !is EngineFailure.Refused && failure !is EngineFailure.NotReached
+        if (isUncertain) mayHaveRun = true
         val reason = stopReason()
         if (reason == null && failure is EngineFailure.ConnectionLost && failure.wasAccepted) judgeLoss(opening)
         opening.entries.forEach(parts.inFlight::leave)
@@ -160,7 +160,7 @@
         failures++
         excluded += opening.engine.id
         if (parts.guard.verdict(fingerprint, parts.nowMs()) == SuspicionVerdict.QUARANTINED) return refuseQuarantined()
-        return if (isAccepted) takeRetry() else null
+        return if (isUncertain) takeRetry() else null
     }
 
     private fun refuseQuarantined(): Failure {
