--- a/lab/src/main/kotlin/org/godwitwick/lab/process/SmallFleet.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/process/SmallFleet.kt
@@ -40,7 +40,9 @@
             list = platform.getValue("list")
             log = platform.getValue("log")
             specs.forEach(::startEngine)
-            val engineRows = specs.zip(forwarders) { spec, it -> listRow("engine", spec.id, spec.model, it.address, spec.location) }
+            val engineRows = specs.zip(forwarders) { spec, it ->
+                listRow("engine", spec.id, spec.model, it.address, spec.location)
+            }
             upstreams = engineRows + services.map { listRow("service", it.id, it.service, platform.getValue(it.id), it.location) }
             fleet.publishList(list, upstreams)
         } catch (e: IllegalStateException) {
