--- a/lab/src/test/kotlin/org/godwitwick/lab/upstream/EngineConnectionTest.kt
+++ b/lab/src/test/kotlin/org/godwitwick/lab/upstream/EngineConnectionTest.kt
@@ -1,6 +1,8 @@
 package org.godwitwick.lab.upstream
 
 import com.github.michaelbull.result.getOrElse
+import io.undertow.server.HttpServerExchange
+import io.undertow.util.Headers
 import org.godwitwick.core.error.Ran
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.core.model.ListedInstance
@@ -13,6 +15,8 @@
 import org.godwitwick.node.upstream.UpstreamCounters
 import org.godwitwick.node.upstream.UpstreamPath
 import org.godwitwick.node.upstream.rotatingSelector
+import org.godwitwick.standins.FakeServer
+import org.godwitwick.standins.sendJson
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isA
@@ -21,6 +25,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Guards against an answer that reaches another request through a connection (G3), with an engine of raw bytes. */
 class EngineConnectionTest {
@@ -62,6 +67,19 @@
         }
     }
 
+    /** Guards against a repeat by the HTTP library, which no retry budget counts. */
+    @Test
+    fun `an engine that invites a repeat gets the request once`() {
+        val calls = AtomicInteger()
+        val answer = { exchange: HttpServerExchange ->
+            calls.incrementAndGet()
+            exchange.responseHeaders.put(Headers.RETRY_AFTER, "0")
+            exchange.sendJson("{}", 503)
+        }
+        FakeServer(0, 2, answer).use { EngineClient(client(1_000), counters).generate(it.address, message("once"), 1_000) }
+        expectThat(calls.get()).isEqualTo(1)
+    }
+
     /** Guards against "not run" for a request that a pooled connection took away before it broke (G4). */
     @Test
     fun `a request lost on a reused connection is not reported as not run`() = withEngine { address, connections ->
--- a/node/src/main/kotlin/org/godwitwick/node/entry/RoutingSystem.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/entry/RoutingSystem.kt
@@ -71,7 +71,8 @@
         mapOf<PeerRows, RowTopic>(
             LoadRows(directory, ::watchedReports) to RowTopic.REPLICA_LOAD,
             sentRows to RowTopic.REPLICA_LOAD,
-            gate.demandRows to RowTopic.DEMAND,
+            // Limits are split over all instances, so an instance of another data centre has to see this demand too.
+            gate.demandRows to RowTopic.DEMAND_SUMMARY,
         ),
         nowMs,
     )
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/EngineClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/EngineClient.kt
@@ -10,7 +10,6 @@
 import okhttp3.MediaType.Companion.toMediaType
 import okhttp3.OkHttpClient
 import okhttp3.Request
-import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
 import org.godwitwick.core.health.LoadReport
 import java.io.IOException
@@ -139,7 +138,7 @@
 
     private fun post(address: String, path: String, json: String): Request = Request.Builder()
         .url("http://$address$path")
-        .post(json.toRequestBody(JSON_MEDIA_TYPE))
+        .post(OneShotBody(json.toByteArray(), JSON_MEDIA_TYPE))
         .tag(ConnectionTrace::class.java, ConnectionTrace())
         .build()
 
