--- a/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
@@ -96,6 +96,7 @@
         listed = list::instances,
         nowMs = System::currentTimeMillis,
         log = records,
+        registry = metrics.registry,
     )
     private val server: Http4kServer = StreamingUndertow(
         settings.host,
@@ -121,6 +122,7 @@
 
     /** Starts all parts and serves callers. */
     fun start() {
+        metrics.showEngineEvents(upstream.counters)
         list.start()
         config.start()
         config.follower.onPause(routing::onResumed)
--- a/node/src/main/kotlin/org/godwitwick/node/metrics/NodeMetrics.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/metrics/NodeMetrics.kt
@@ -1,6 +1,7 @@
 package org.godwitwick.node.metrics
 
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.CounterWithCallback
 import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
@@ -8,11 +9,13 @@
 import org.godwitwick.core.error.ErrorKind
 import org.godwitwick.core.model.GenerateRequest
 import org.godwitwick.core.model.PromptClass
+import org.godwitwick.node.upstream.UpstreamCounters
 import java.io.ByteArrayOutputStream
 
 /** The metrics of one instance. Each part that measures something is passed this object. */
 class NodeMetrics {
-    private val registry = PrometheusRegistry()
+    /** Registry of all metrics of this instance. */
+    val registry = PrometheusRegistry()
     private val firstToken = histogram(
         "godwitwick_time_to_first_token_seconds",
         "Time from the arrival of a request to its first token.",
@@ -40,8 +43,6 @@
         "organisation",
     )
     private val requests = counter("godwitwick_requests_total", "Ended requests by error kind.", "result")
-    private val mismatches = counter("godwitwick_identity_mismatches_total", "Upstream messages that belong to another request.")
-    private val drops = counter("godwitwick_dropped_messages_total", "Received messages that were dropped.", "reason")
     private val inFlight = Gauge.builder()
         .name("godwitwick_requests_in_flight")
         .help("Requests that have arrived and not ended.")
@@ -62,7 +63,6 @@
     init {
         // Series that exist from the start let a rate be computed over the first event.
         (listOf(RESULT_OK) + ErrorKind.entries.map { it.code }).forEach { requests.initLabelValues(it) }
-        DropReason.entries.forEach { drops.initLabelValues(it.label) }
     }
 
     /** Counts the arrival of a request. */
@@ -86,15 +86,25 @@
     /** Records the time between two tokens of [request]. */
     fun tokenGap(request: GenerateRequest, gapNanos: Long) = observe(tokenGap, organisationTokenGap, request, gapNanos)
 
-    /** Counts an upstream message that carries another request's identity, and its drop. */
-    fun identityMismatch(reason: DropReason) {
-        mismatches.inc()
-        dropped(reason)
+    /** Shows the counters of the path to the engines. */
+    fun showEngineEvents(counters: UpstreamCounters) {
+        val byEvent = mapOf(
+            "wrong_request_id" to counters.wrongRequestIds,
+            "wrong_index" to counters.wrongIndexes,
+            "stall" to counters.stalls,
+            "retry" to counters.retries,
+            "retry_budget_used_up" to counters.budgetRefusals,
+            "quarantine" to counters.quarantines,
+            "lost_cleanup" to counters.lostCleanups,
+        )
+        CounterWithCallback.builder()
+            .name("godwitwick_engine_events_total")
+            .help("Events on the path to the engines.")
+            .labelNames("event")
+            .callback { shown -> byEvent.forEach { (event, count) -> shown.call(count.sum().toDouble(), event) } }
+            .register(registry)
     }
 
-    /** Counts one dropped message. */
-    fun dropped(reason: DropReason) = drops.labelValues(reason.label).inc()
-
     /** Records how long work waited for the control thread. */
     fun controlQueueDelay(delayNanos: Long) = controlDelay.observe(delayNanos / NANOS_PER_SECOND)
 
--- a/node/src/test/kotlin/org/godwitwick/node/entry/EntryNodeConfigTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/entry/EntryNodeConfigTest.kt
@@ -71,4 +71,14 @@
         await("ready again") { call("/readyz", "").first == 200 }
         expectThat(call("/v1/completions", "org", """{"model":"menu","prompt":"a note"}""").second).contains("no_upstream")
     }
+
+    // Guards against counters that operators are told to watch and that no part feeds.
+    @Test
+    fun `the metrics page of an instance has the counters of the engine path and of claims`() {
+        node.start()
+        val page = call("/metrics", "").second
+        expectThat(
+            page,
+        ).contains("godwitwick_engine_events_total{event=\"wrong_request_id\"}").contains("godwitwick_claim_gaps_total")
+    }
 }
