--- a/node/src/main/kotlin/org/godwitwick/node/entry/RoutingSystem.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/entry/RoutingSystem.kt
@@ -86,7 +86,7 @@
     /** Starts the watcher, the exchange of rows and the periodic work of admission. */
     fun start() {
         control.post { rows.onRow(RowTopic.SUSPICION) { takeSuspicions(it.body) } }
-        takeList()
+        control.post(::onList)
         control.every(LIST_PERIOD_MS, ::onList)
         gate.start()
         binding.start()
@@ -105,8 +105,6 @@
 
     override fun close() = upstream.close()
 
-    private fun takeList() = control.post(::onList)
-
     private fun onList() {
         val present = listed()
         directory.onList(present)
@@ -126,7 +124,9 @@
     }
 
     private fun watchedReports(): Map<InstanceId, PlacementReport> =
-        readReports.filterKeys { id -> listed().any { it.id == id && isAssigned(it) } }
+        listed().filter { readReports.containsKey(it.id) && isAssigned(it) }
+            .mapNotNull { replica -> readReports[replica.id]?.let { replica.id to it } }
+            .toMap()
 
     private fun pushSuspicions(suspicions: List<SuspicionRow>) = control.post {
         suspicions.forEach { row ->
