Forward requests on the platform's routes; add the platform adapter

The product now runs on the users' platform: core.forward decides (admission by host, prefix and key, placement, retries), node.forward sends and relays, and platform/ translates settings, store records, headers and statuses.

--- /dev/null
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/RoutingTable.kt
@@ -0,0 +1,32 @@
+package org.godwitwick.core.forward
+
+import org.godwitwick.core.model.OrganisationId
+
+/** A [RoutingConfig] indexed for look-ups on the request path. Immutable. */
+class RoutingTable(val config: RoutingConfig) {
+    private val routes: Map<String, Map<String, ForwardRoute>> =
+        config.routes.groupBy { it.host.lowercase() }.mapValues { (_, routes) -> routes.associateBy { it.pathPrefix } }
+    private val services = config.services.associateBy { it.name }
+    private val organisations: Map<String, OrganisationId> =
+        config.organisations.orEmpty().flatMap { entry -> entry.keys.map { it to entry.organisation } }.toMap()
+
+    /** Whether callers of routes that aren't public need a key. */
+    val needsKeys: Boolean get() = config.organisations != null
+
+    /** The route of [host] with the longest prefix of [path], or null. */
+    fun routeOf(host: String, path: String): ForwardRoute? {
+        val ofHost = routes[host.substringBefore(':').lowercase()] ?: return null
+        var end = path.lastIndexOf('/')
+        while (end >= 0) {
+            ofHost[path.substring(0, end + 1)]?.let { return it }
+            end = path.lastIndexOf('/', end - 1)
+        }
+        return null
+    }
+
+    /** The organisation that holds [key], or null. */
+    fun organisationOf(key: String): OrganisationId? = organisations[key]
+
+    /** The service called [name], or null. */
+    fun serviceOf(name: String): ForwardService? = services[name]
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/Clocks.kt
@@ -0,0 +1,14 @@
+package org.godwitwick.node.forward
+
+import org.godwitwick.core.forward.ClockReading
+
+/** The clocks of this process. */
+object Clocks {
+    private const val NANOS_PER_MS = 1_000_000L
+
+    /** Steady time in milliseconds, from an arbitrary origin. */
+    fun steadyMs(): Long = System.nanoTime() / NANOS_PER_MS
+
+    /** Both clocks now. */
+    fun read() = ClockReading(steadyMs(), System.currentTimeMillis())
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
@@ -0,0 +1,63 @@
+package org.godwitwick.node.forward
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import org.godwitwick.core.error.ErrorKind
+import org.godwitwick.core.error.Failure
+import org.godwitwick.core.forward.ForwardTarget
+import org.godwitwick.node.http.CallerWatch
+import org.godwitwick.node.http.StreamingUndertow
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.slf4j.LoggerFactory
+import java.io.IOException
+import java.util.concurrent.TimeUnit
+
+/** Answers callers: checks their requests, reads the bodies and forwards. */
+class ForwardHandler(private val parts: ForwardParts, private val watch: RunWatch, private val maxInFlight: Int) {
+    /** Answers [request]. */
+    fun answer(request: Request, caller: CallerWatch): Response {
+        val decoded = parts.dialect.decode(request).getOrElse { return refused(it, "") }
+        return accepted(decoded, request, caller).getOrElse { refused(it, decoded.id) }
+    }
+
+    private fun accepted(decoded: CallerRequest, request: Request, caller: CallerWatch): Result<Response, Failure> {
+        if (watch.count >= maxInFlight) return Err(Failure(ErrorKind.OVERLOADED, "too many requests are in flight"))
+        val target = ForwardTarget(decoded.host, decoded.path, decoded.key)
+        val admitted = parts.admission.admit(target, parts.knowledge.config, Clocks.read()).getOrElse { return Err(it) }
+        val arrivedMs = arrivalOf(request)
+        val timeoutMs = minOf(decoded.patienceMs ?: admitted.route.timeoutMs, admitted.route.timeoutMs)
+        val body = bodyOf(request).getOrElse { return Err(it) }
+        val guard = RunGuard(arrivedMs + timeoutMs)
+        caller.onGone(guard::callerGone)
+        watch.add(guard)
+        val run = ForwardRun(parts, decoded, body, arrivedMs, guard) { watch.remove(guard) }
+        return Ok(run.answer())
+    }
+
+    private fun arrivalOf(request: Request): Long =
+        request.header(StreamingUndertow.ARRIVAL_HEADER)?.toLongOrNull()?.let(TimeUnit.NANOSECONDS::toMillis) ?: Clocks.steadyMs()
+
+    private fun bodyOf(request: Request): Result<ByteArray, Failure> {
+        val limit = parts.knowledge.config.table?.config?.limits?.maxBodyBytes ?: DEFAULT_MAX_BODY_BYTES
+        return try {
+            val body = request.body.stream.use { it.readNBytes(limit + 1) }
+            if (body.size > limit) Err(Failure(ErrorKind.TOO_LARGE, "the body is over $limit bytes")) else Ok(body)
+        } catch (e: IOException) {
+            Err(Failure(ErrorKind.BAD_REQUEST, "the body can't be read: ${e.message}"))
+        }
+    }
+
+    private fun refused(failure: Failure, id: String): Response {
+        log.info("forward: {} refused with {}: {}", id, failure.kind.code, failure.message)
+        parts.metrics.ended("", failure.kind.code, null, 0)
+        return parts.dialect.failureResponse(failure, id)
+    }
+
+    private companion object {
+        const val DEFAULT_MAX_BODY_BYTES = 4 shl 20
+        val log = LoggerFactory.getLogger(ForwardHandler::class.java)
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -0,0 +1,169 @@
+package org.godwitwick.node.forward
+
+import org.godwitwick.core.forward.ForwardAdmission
+import org.godwitwick.core.forward.KeyFreshness
+import org.godwitwick.core.forward.PatienceRule
+import org.godwitwick.core.forward.PlacementRule
+import org.godwitwick.core.forward.RoutingConfig
+import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.node.control.ControlThread
+import org.godwitwick.node.http.InFlight
+import org.godwitwick.node.http.StreamingUndertow
+import org.godwitwick.node.metrics.NodeMetrics
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.slf4j.LoggerFactory
+import kotlin.random.Random
+
+/**
+ * One instance that forwards requests on the routes of a platform's configuration. It keeps nothing: configuration and upstreams come
+ * from the platform's store.
+ */
+class ForwardNode(
+    private val settings: ForwardSettings,
+    dialect: ForwardDialect,
+    configFeed: RecordFeed<RoutingConfig>,
+    upstreamFeed: RecordFeed<UpstreamEntry>,
+) : AutoCloseable {
+    private val metrics = NodeMetrics()
+    private val control = ControlThread(metrics::controlQueueDelay)
+    private val loads = UpstreamLoads()
+    private val knowledge = FleetKnowledge(control, loads, Clocks::steadyMs)
+    private val client = ForwardClient(dialect, CONNECT_TIMEOUT_MS)
+    private val reservations = Reservations(client, dialect, holdMsOf(settings))
+    private val runs = RunWatch(Clocks::steadyMs)
+    private val inFlight = InFlight()
+    private val parts = ForwardParts(
+        dialect = dialect,
+        knowledge = knowledge,
+        admission = ForwardAdmission(KeyFreshness(settings.revocationMs)),
+        placement = PlacementRule(),
+        patience = PatienceRule(settings.stallMs),
+        client = client,
+        reservations = reservations,
+        loads = loads,
+        budgets = RetryBudgets(
+            settings.retryFraction * RETRY_SAFETY,
+            settings.retryReserve / RESERVE_SHARES,
+            settings.retryWindowMs + settings.retryWindowMs / RETRY_SLOTS,
+        ),
+        metrics = ForwardMetrics(metrics.registry),
+        random = Random.Default,
+    )
+    private val configFollower = FeedFollower(
+        "config",
+        configFeed,
+        FeedPacing(settings.revocationMs * 2 / 5, CONFIG_PERIOD_MS, settings.heartbeatMs),
+        knowledge.configListener,
+        Clocks::read,
+    )
+    private val upstreamFollower = FeedFollower(
+        "upstreams",
+        upstreamFeed,
+        FeedPacing(UPSTREAM_WAIT_MS, UPSTREAM_PERIOD_MS, settings.heartbeatMs),
+        knowledge.upstreamListener,
+        Clocks::read,
+    )
+
+    @Volatile
+    private var isStopping = false
+    private val server = StreamingUndertow(
+        settings.listenHost,
+        settings.listenPort,
+        WORKER_THREADS,
+        maxHeaderBytes = MAX_HEADER_BYTES,
+        inFlight = inFlight,
+        isClosing = { isStopping },
+        idleTimeoutMs = IDLE_TIMEOUT_MS,
+        headerTimeoutMs = HEADER_TIMEOUT_MS,
+    ).toWatchingServer(ForwardHandler(parts, runs, MAX_IN_FLIGHT)::answer)
+    private val operations = StreamingUndertow(
+        settings.readinessHost,
+        settings.readinessPort,
+        OPERATION_THREADS,
+    ).toServer(::operate)
+
+    /** Whether the balancer may send new connections. */
+    val isReady: Boolean get() = !isStopping && knowledge.config.table != null && knowledge.upstreams.isNotEmpty()
+
+    /** Begins to serve. */
+    fun start() {
+        configFollower.start()
+        upstreamFollower.start()
+        operations.start()
+        server.start()
+        log.info("start: {} serves {}:{}", settings.instanceName, settings.listenHost, settings.listenPort)
+    }
+
+    /** Fails readiness and asks callers to reconnect elsewhere; requests are still served. */
+    fun beginStop() {
+        isStopping = true
+        log.info("stop: begun with {} requests in flight", inFlight.count)
+    }
+
+    /** Waits until the balancer has noticed and nothing is in flight, at the longest for most of the grace period. */
+    fun awaitStopped() {
+        val endMs = Clocks.steadyMs() + settings.graceMs - STOP_MARGIN_MS
+        val noticedMs = Clocks.steadyMs() + NOTICE_MS
+        while (Clocks.steadyMs() < endMs && (Clocks.steadyMs() < noticedMs || inFlight.count > 0)) Thread.sleep(STOP_POLL_MS)
+        log.info("stop: ended with {} requests in flight", inFlight.count)
+    }
+
+    private fun operate(request: Request): Response = when (request.uri.path) {
+        settings.readinessPath -> Response(if (isReady) Status.OK else Status.SERVICE_UNAVAILABLE)
+        settings.metricsPath -> Response(Status.OK).header("Content-Type", NodeMetrics.CONTENT_TYPE).body(metrics.render())
+        else -> Response(Status.NOT_FOUND)
+    }
+
+    override fun close() {
+        configFollower.close()
+        upstreamFollower.close()
+        server.stop()
+        operations.stop()
+        reservations.close()
+        runs.close()
+        control.close()
+    }
+
+    private companion object {
+        val log = LoggerFactory.getLogger(ForwardNode::class.java)
+
+        /** Connections within a region take a few milliseconds; a lost packet is sent again after a second. */
+        const val CONNECT_TIMEOUT_MS = 300L
+
+        /** Each request in flight holds a thread. */
+        const val WORKER_THREADS = 160
+        const val MAX_IN_FLIGHT = 150
+        const val OPERATION_THREADS = 2
+        const val MAX_HEADER_BYTES = 64 * 1024
+
+        /** Longer than the idle and header timeouts that callers are told, so that none is cut off before. */
+        const val IDLE_TIMEOUT_MS = 120_000
+        const val HEADER_TIMEOUT_MS = 30_000
+
+        /** Changes of the configuration that come within this time share a read. */
+        const val CONFIG_PERIOD_MS = 50L
+
+        /** Half of the time in which a leaving upstream has to be known. */
+        const val UPSTREAM_PERIOD_MS = 1_000L
+        const val UPSTREAM_WAIT_MS = 5_000L
+
+        /** Part of the fleet's retry fraction that is used, since windows of different instances don't begin together. */
+        const val RETRY_SAFETY = 0.8
+
+        /** Instances that the fleet's retry reserve is divided among; more would have to use up theirs at once to exceed it. */
+        const val RESERVE_SHARES = 16
+        const val RETRY_SLOTS = 5
+
+        /** The balancer asks once a second and takes an instance out after two misses. */
+        const val NOTICE_MS = 2_500L
+        const val STOP_POLL_MS = 50L
+        const val STOP_MARGIN_MS = 500L
+
+        /** A reservation that nobody extends has to end well before it counts as left behind. */
+        const val HOLD_MARGIN_MS = 1_000L
+
+        fun holdMsOf(settings: ForwardSettings) = (settings.freeMs - HOLD_MARGIN_MS).coerceIn(HOLD_MARGIN_MS, settings.maxHoldMs)
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardParts.kt
@@ -0,0 +1,21 @@
+package org.godwitwick.node.forward
+
+import org.godwitwick.core.forward.ForwardAdmission
+import org.godwitwick.core.forward.PatienceRule
+import org.godwitwick.core.forward.PlacementRule
+import kotlin.random.Random
+
+/** What the runs of all requests share. */
+class ForwardParts(
+    val dialect: ForwardDialect,
+    val knowledge: FleetKnowledge,
+    val admission: ForwardAdmission,
+    val placement: PlacementRule,
+    val patience: PatienceRule,
+    val client: ForwardClient,
+    val reservations: Reservations,
+    val loads: UpstreamLoads,
+    val budgets: RetryBudgets,
+    val metrics: ForwardMetrics,
+    val random: Random,
+)
--- a/node/src/main/kotlin/org/godwitwick/node/http/WriteWatchdog.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/BlockingWatchdog.kt
@@ -5,12 +5,13 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * Interrupts writes to callers that take longer than [timeoutMs], because a caller that reads nothing would hold a thread for ever.
+ * Interrupts reads from and writes to callers that take longer than [timeoutMs], because a caller that stands still would hold a
+ * thread for ever.
  *
  * Undertow's own write timeout also counts the time between two writes, so it cuts off callers whose engine is slow.
  */
-class WriteWatchdog(private val timeoutMs: Long) : AutoCloseable {
-    private class Write(val thread: Thread, val startedNanos: Long) {
+class BlockingWatchdog(private val timeoutMs: Long) : AutoCloseable {
+    private class Operation(val thread: Thread, val startedNanos: Long) {
         private var isDone = false
         private var isInterrupted = false
 
@@ -27,29 +28,29 @@
         }
     }
 
-    private val writes = ConcurrentHashMap.newKeySet<Write>()
-    private val timer = Executors.newSingleThreadScheduledExecutor { Thread(it, "write-watchdog").apply { isDaemon = true } }
+    private val operations = ConcurrentHashMap.newKeySet<Operation>()
+    private val timer = Executors.newSingleThreadScheduledExecutor { Thread(it, "blocking-watchdog").apply { isDaemon = true } }
 
     init {
         val periodMs = (timeoutMs / CHECKS_PER_TIMEOUT).coerceAtLeast(1)
         timer.scheduleWithFixedDelay(::check, periodMs, periodMs, TimeUnit.MILLISECONDS)
     }
 
-    /** Runs [write] on the calling thread and interrupts it when it takes too long. */
-    fun guarded(write: () -> Unit) {
-        val entry = Write(Thread.currentThread(), System.nanoTime())
-        writes.add(entry)
+    /** Runs [operation] on the calling thread and interrupts it when it takes too long. */
+    fun <T> guarded(operation: () -> T): T {
+        val entry = Operation(Thread.currentThread(), System.nanoTime())
+        operations.add(entry)
         try {
-            write()
+            return operation()
         } finally {
             entry.end()
-            writes.remove(entry)
+            operations.remove(entry)
         }
     }
 
     private fun check() {
         val nowNanos = System.nanoTime()
-        writes.forEach { it.interruptAfter(TimeUnit.MILLISECONDS.toNanos(timeoutMs), nowNanos) }
+        operations.forEach { it.interruptAfter(TimeUnit.MILLISECONDS.toNanos(timeoutMs), nowNanos) }
     }
 
     override fun close() {
--- a/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
@@ -30,6 +30,8 @@
  * @property inFlight counts each exchange from its header on, those that wait for a worker thread included.
  * @property isClosing whether connections are closed after their answer, so that callers connect to another instance.
  * @property writeTimeoutMs time after which a caller that reads nothing is cut off; it would hold a thread for ever otherwise.
+ * @property idleTimeoutMs time after which an unused connection is closed, or null to leave it open.
+ * @property headerTimeoutMs time in which a request's header has to arrive, or null for any.
  */
 class StreamingUndertow(
     private val host: String,
@@ -40,18 +42,28 @@
     private val inFlight: InFlight = InFlight(),
     private val isClosing: () -> Boolean = { false },
     private val writeTimeoutMs: Long = 10_000,
+    private val idleTimeoutMs: Int? = null,
+    private val headerTimeoutMs: Int? = null,
 ) : ServerConfig {
-    override fun toServer(http: HttpHandler): Http4kServer {
-        val watchdog = WriteWatchdog(writeTimeoutMs)
-        val server = Undertow.builder()
+    override fun toServer(http: HttpHandler): Http4kServer = toServer(isTargetRaw = false) { request, _ -> http(request) }
+
+    /** A server whose [handler] learns when callers leave, and gets the path as it was sent, without decoding. */
+    fun toWatchingServer(handler: WatchingHandler): Http4kServer = toServer(isTargetRaw = true, handler)
+
+    private fun toServer(isTargetRaw: Boolean, handler: WatchingHandler): Http4kServer {
+        val watchdog = BlockingWatchdog(writeTimeoutMs)
+        val monitor = CallerMonitor()
+        val exchanges = ExchangeHandler(handler, isClosing, watchdog, monitor, isTargetRaw)
+        val builder = Undertow.builder()
             .addHttpListener(port, host)
             .setWorkerThreads(workerThreads)
             .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, maxBodyBytes)
             .setServerOption(UndertowOptions.MAX_HEADER_SIZE, maxHeaderBytes)
             .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, true)
-            .setHandler(counted(BlockingHandler(ExchangeHandler(http, isClosing, watchdog))))
-            .build()
-        return RunningServer(server, watchdog)
+            .setHandler(counted(BlockingHandler(exchanges)))
+        idleTimeoutMs?.let { builder.setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, it) }
+        headerTimeoutMs?.let { builder.setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, it) }
+        return RunningServer(builder.build(), listOf(watchdog, monitor))
     }
 
     private fun counted(next: UndertowHandler) = UndertowHandler { exchange ->
@@ -63,21 +75,23 @@
         next.handleRequest(exchange)
     }
 
-    private class RunningServer(private val server: Undertow, private val watchdog: WriteWatchdog) : Http4kServer {
+    private class RunningServer(private val server: Undertow, private val parts: List<AutoCloseable>) : Http4kServer {
         override fun start(): Http4kServer = apply { server.start() }
 
         override fun stop(): Http4kServer = apply {
             server.stop()
-            watchdog.close()
+            parts.forEach { it.close() }
         }
 
         override fun port(): Int = (server.listenerInfo.first().address as InetSocketAddress).port
     }
 
     private class ExchangeHandler(
-        private val http: HttpHandler,
+        private val handler: WatchingHandler,
         private val isClosing: () -> Boolean,
-        private val watchdog: WriteWatchdog,
+        private val watchdog: BlockingWatchdog,
+        private val monitor: CallerMonitor,
+        private val isTargetRaw: Boolean,
     ) : UndertowHandler {
         // The answer's body is produced on this thread, so the logging context of the request holds until the last byte.
         override fun handleRequest(exchange: HttpServerExchange) = try {
@@ -94,7 +108,9 @@
                 exchange.statusCode = 405
                 return
             }
-            writeResponse(exchange, http(readRequest(exchange, method)))
+            monitor.watch(exchange).use { caller ->
+                writeResponse(exchange, handler(readRequest(exchange, method), caller), caller)
+            }
         }
 
         private fun readRequest(exchange: HttpServerExchange, method: Method): Request {
@@ -103,14 +119,15 @@
                 .filterNot { it.headerName.toString().equals(ARRIVAL_HEADER, ignoreCase = true) }
                 .flatMap { values -> values.map { values.headerName.toString() to it } }
             val length = exchange.requestContentLength.takeIf { it >= 0 }
-            return Request(method, exchange.requestPath + query)
+            val path = if (isTargetRaw) exchange.requestURI else exchange.requestPath
+            return Request(method, path + query)
                 .headers(headers)
                 .header(ARRIVAL_HEADER, exchange.requestStartTime.toString())
-                .body(exchange.inputStream, length)
+                .body(if (isTargetRaw) GuardedInput(exchange.inputStream, watchdog) else exchange.inputStream, length)
                 .source(RequestSource(exchange.sourceAddress.hostString))
         }
 
-        private fun writeResponse(exchange: HttpServerExchange, response: Response) {
+        private fun writeResponse(exchange: HttpServerExchange, response: Response, caller: CallerWatch) {
             exchange.statusCode = response.status.code
             response.headers.groupBy({ it.first }, { it.second ?: "" })
                 .forEach { (name, values) -> exchange.responseHeaders.putAll(HttpString(name), values) }
@@ -118,20 +135,21 @@
                 // With "Connection: close" Undertow would mark the end of the body by closing the connection, as an abort does.
                 exchange.responseHeaders.put(Headers.TRANSFER_ENCODING, "chunked")
             }
-            response.body.stream.use { body -> copyOrAbort(exchange, body) }
+            if (isClosing()) exchange.isPersistent = false
+            response.body.stream.use { body -> copyOrAbort(exchange, body, caller) }
         }
 
         // A body that fails midway closes the connection without the last chunk, so that a client can't take it for a whole answer.
-        private fun copyOrAbort(exchange: HttpServerExchange, body: InputStream) {
+        private fun copyOrAbort(exchange: HttpServerExchange, body: InputStream, caller: CallerWatch) {
             try {
-                copyFlushing(exchange, body)
+                copyFlushing(exchange, body, caller)
             } catch (e: IOException) {
                 log.debug("http: response aborted: {}", e.message)
                 exchange.connection.close()
             }
         }
 
-        private fun copyFlushing(exchange: HttpServerExchange, body: InputStream) {
+        private fun copyFlushing(exchange: HttpServerExchange, body: InputStream, caller: CallerWatch) {
             val out = exchange.outputStream
             val buffer = ByteArray(COPY_BUFFER_BYTES)
             while (true) {
@@ -142,10 +160,22 @@
                     out.flush()
                 }
             }
+            // The caller may send its next request as soon as it has the last byte.
+            caller.close()
             watchdog.guarded { out.close() }
         }
     }
 
+    private class GuardedInput(private val input: InputStream, private val watchdog: BlockingWatchdog) : InputStream() {
+        override fun read(): Int = watchdog.guarded { input.read() }
+
+        override fun read(target: ByteArray, offset: Int, length: Int): Int = watchdog.guarded {
+            input.read(target, offset, length)
+        }
+
+        override fun close() = input.close()
+    }
+
     companion object {
         /** Internal request header: time at which the request's header arrived, on the scale of [System.nanoTime]. */
         const val ARRIVAL_HEADER = "Godwitwick-Arrival-Nanos"
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/OneShotBody.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/OneShotBody.kt
@@ -8,8 +8,8 @@
  * A request body that OkHttp sends once. It would repeat a call that is answered by 503 with `Retry-After: 0`, also without
  * `retryOnConnectionFailure`, outside the retry budget.
  */
-class OneShotBody(private val content: ByteArray, private val mediaType: MediaType) : RequestBody() {
-    override fun contentType(): MediaType = mediaType
+class OneShotBody(private val content: ByteArray, private val mediaType: MediaType?) : RequestBody() {
+    override fun contentType(): MediaType? = mediaType
 
     override fun contentLength(): Long = content.size.toLong()
 
