Exchange loads between instances; place short and long prompts apart

Each instance knew its own sends only. Instances now register in a group of the store and tell each other their work every 100 ms; long prompts avoid engines with short streams. An instance that can't confirm the configuration tells callers to ask another at once (Retry-After: 0 and a closed connection), and isn't ready meanwhile. Ruled out: first-event times, which were within 300 ms in those phases.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/ForwardAdmission.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/ForwardAdmission.kt
@@ -41,10 +41,6 @@
 
     private fun stale() = unconfirmed("the configuration has not been confirmed for too long")
 
-    private fun unconfirmed(message: String) = Failure(ErrorKind.CONFIG_UNCONFIRMED, message, retryAfterMs = CONFIRM_RETRY_MS)
-
-    private companion object {
-        /** Advised wait in milliseconds; another instance may be served by the store meanwhile. */
-        const val CONFIRM_RETRY_MS = 200L
-    }
+    // Another instance may know more, so the caller should ask it at once.
+    private fun unconfirmed(message: String) = Failure(ErrorKind.CONFIG_UNCONFIRMED, message, retryAfterMs = 0)
 }
--- a/core/src/main/kotlin/org/godwitwick/core/forward/PlacementRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/PlacementRule.kt
@@ -1,14 +1,13 @@
 package org.godwitwick.core.forward
 
 import kotlin.math.ceil
-import kotlin.math.min
 
 /**
- * Places requests on upstreams: each goes to the upstream with the least own work outstanding.
+ * Places requests on upstreams.
  *
- * Answers a mix in which few long prompts meet many short ones. A prompt from [LONG_PROMPT_TOKENS] on is read by many engines at
- * once, so that none is occupied for longer than a short stream may pause. A prompt that is larger than one engine's memory is spread
- * over reservations.
+ * Answers a mix in which bursts of long prompts meet many short ones. An engine that reads writes nothing meanwhile, so a long read
+ * stalls all short streams beside it. Short requests therefore share few engines, in an order that all instances agree on, as long as
+ * these keep their pace; long prompts are read by several of the other engines at once, so that no pause is long.
  */
 class PlacementRule(private val settings: PlacementSettings = PlacementSettings()) {
     /** Places a request without tokens; null when no upstream is known. */
@@ -16,30 +15,67 @@
         candidates.minByOrNull(::costMs)?.let { Placement(it.entry, emptyList()) }
 
     /** Places a request of [size] on engines of [profile]; null when they can't hold it, or none is known. */
-    fun place(size: RequestSize, profile: EngineProfile, candidates: List<UpstreamView>): Placement? {
-        val ranked = candidates.sortedBy(::costMs)
-        val first = ranked.firstOrNull() ?: return null
-        if (size.promptTokens < settings.longPromptTokens) return Placement(first.entry, emptyList())
-        val helpers = ranked.drop(1).filter { it.helping < profile.slots - HELP_RESERVE }
-        val usableShare = (profile.memoryTokens * settings.maxMemoryShare).toLong()
-        if (size.memoryTokens > usableShare) return spread(size, profile, first, helpers)
-        return Placement(first.entry, helpers.take(settings.maxHelpers).map { Helper(it.entry, 0) })
+    fun place(size: RequestSize, profile: EngineProfile, candidates: List<UpstreamView>): Placement? = when {
+        candidates.isEmpty() -> null
+        isShort(size) -> placeShort(profile, candidates)
+        size.memoryTokens > profile.memoryTokens * settings.maxMemoryShare -> spread(size, profile, candidates)
+        else -> placeLong(size, profile, candidates)
     }
 
-    // The first engine holds the answer and its part of the prompt; the helpers hold equal parts of the rest.
-    private fun spread(size: RequestSize, profile: EngineProfile, first: UpstreamView, helpers: List<UpstreamView>): Placement? {
-        val chosen = helpers.sortedBy { it.heldTokens }.take(settings.maxHelpers)
-        if (chosen.isEmpty()) return null
-        val part = ceil(size.promptTokens.toDouble() / chosen.size).toLong()
+    /** Whether a request of [size] counts among the short ones. */
+    fun isShort(size: RequestSize): Boolean = size.promptTokens < settings.longPromptTokens
+
+    // The engines that short requests share are the first ones in an order that is the same on all instances.
+    private fun placeShort(profile: EngineProfile, candidates: List<UpstreamView>): Placement {
+        val streams = candidates.sumOf { it.work.shortStreams }
+        val sharing = streams / settings.streamsPerEngine + settings.leastSharing
+        val shared = candidates.sortedBy { rankOf(it.entry) }.take(sharing)
+        val best = shared.minBy { shortCostMs(it, profile) }
+        val other = candidates.minBy { shortCostMs(it, profile) }
+        val isBestBusy = shortCostMs(best, profile) > shortCostMs(other, profile) + settings.calmReadMs
+        return Placement((if (isBestBusy) other else best).entry, emptyList())
+    }
+
+    private fun placeLong(size: RequestSize, profile: EngineProfile, candidates: List<UpstreamView>): Placement {
+        val totalMs = profile.readMs(size.promptTokens)
+        val usable = candidates.filter { it.work.helping < profile.slots - HELP_RESERVE }.ifEmpty { candidates }
+        val ranked = usable.sortedWith(compareBy({ isShared(it) }, ::costMs))
+        val wanted = ceil(totalMs / settings.partReadMs).toInt().coerceIn(1, settings.maxHelpers + 1)
+        val least = ceil(totalMs / settings.maxPartReadMs).toInt().coerceIn(1, wanted)
+        // Fewer engines read longer, but those with short streams are spared.
+        val calm = ranked.count { !isShared(it) }
+        val members = ranked.take(if (calm >= wanted) wanted else maxOf(calm.coerceAtMost(wanted), least))
+        val room = members.filter { it.work.heldTokens + size.memoryTokens <= profile.memoryTokens }.ifEmpty { members }
+        val first = room.minBy { it.work.running + if (isShared(it)) profile.slots else 0 }
+        return Placement(first.entry, members.filter { it !== first }.map { Helper(it.entry, 0) })
+    }
+
+    // The first engine holds the answer; the helpers hold equal parts of the prompt.
+    private fun spread(size: RequestSize, profile: EngineProfile, candidates: List<UpstreamView>): Placement? {
+        val ranked = candidates.sortedWith(compareBy({ isShared(it) }, { it.work.heldTokens }))
+        val first = ranked.first()
+        val helpers = ranked.drop(1).filter { it.work.helping < profile.slots - HELP_RESERVE }.take(settings.maxHelpers)
+        if (helpers.isEmpty()) return null
+        val part = ceil(size.promptTokens.toDouble() / helpers.size).toLong()
         if (part > profile.memoryTokens * settings.maxReservedShare || size.maxAnswerTokens > profile.memoryTokens) return null
-        return Placement(first.entry, chosen.map { Helper(it.entry, part) })
+        return Placement(first.entry, helpers.map { Helper(it.entry, part) })
+    }
+
+    private fun isShared(view: UpstreamView): Boolean = view.work.shortStreams > 0
+
+    // The same on all instances, so that they share the same engines without asking each other.
+    private fun rankOf(entry: UpstreamEntry): Int = entry.id.value.hashCode()
+
+    private fun shortCostMs(view: UpstreamView, profile: EngineProfile): Double {
+        val waiting = (view.work.running - profile.slots + 1).coerceAtLeast(0)
+        return costMs(view) + settings.queueMs * waiting
     }
 
     private fun costMs(view: UpstreamView): Double =
-        view.pendingReadMs + view.penaltyMs + settings.runningMs * view.running + settings.helpingMs * view.helping
+        view.work.pendingReadMs + view.penaltyMs + settings.runningMs * view.work.running
 
     private companion object {
-        /** Places for helping that are left to other instances, which this one doesn't see. */
+        /** Places for helping that are left to requests of other instances that this one has not heard of yet. */
         const val HELP_RESERVE = 3
     }
 }
@@ -47,21 +83,28 @@
 /**
  * Settings of [PlacementRule].
  *
- * @property longPromptTokens prompts from this size on are read by several engines.
+ * @property longPromptTokens prompts from this size on may be read by several engines.
  * @property maxHelpers most helpers of one prompt; the platform allows 16.
+ * @property partReadMs reading time of one part that is aimed at: two parts in one pass are still within a short stream's pause.
+ * @property maxPartReadMs reading time of one part that long streams beside it can bear.
+ * @property calmReadMs reading for which an engine of the shared ones is left for another: the length of a short pass.
+ * @property streamsPerEngine short streams for which one more engine is shared.
+ * @property leastSharing engines that short requests share at the least.
  * @property maxMemoryShare share of an engine's memory up to which one request is held by one engine.
  * @property maxReservedShare share of an engine's memory that one reservation may take.
  * @property runningMs cost of a running request, in milliseconds of reading.
- * @property helpingMs cost of a read for another engine, in milliseconds of reading.
+ * @property queueMs cost of each request that waits for a slot: the time in which one becomes free.
  */
 data class PlacementSettings(
     val longPromptTokens: Long = 20_000,
     val maxHelpers: Int = 16,
+    val partReadMs: Double = 100.0,
+    val maxPartReadMs: Double = 400.0,
+    val calmReadMs: Double = 60.0,
+    val streamsPerEngine: Int = 3,
+    val leastSharing: Int = 3,
     val maxMemoryShare: Double = 0.8,
     val maxReservedShare: Double = 0.5,
     val runningMs: Double = 10.0,
-    val helpingMs: Double = 10.0,
-) {
-    /** The settings for a fleet whose helpers are limited to [most]. */
-    fun withHelpersUpTo(most: Int) = copy(maxHelpers = min(maxHelpers, most))
-}
+    val queueMs: Double = 200.0,
+)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -6,6 +6,7 @@
 import org.godwitwick.core.forward.PlacementRule
 import org.godwitwick.core.forward.RoutingConfig
 import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.control.ControlThread
 import org.godwitwick.node.http.InFlight
 import org.godwitwick.node.http.StreamingUndertow
@@ -25,10 +26,15 @@
     dialect: ForwardDialect,
     configFeed: RecordFeed<RoutingConfig>,
     upstreamFeed: RecordFeed<UpstreamEntry>,
+    registry: InstanceRegistry,
 ) : AutoCloseable {
     private val metrics = NodeMetrics()
     private val control = ControlThread(metrics::controlQueueDelay)
     private val loads = UpstreamLoads()
+    private val peerLoads = PeerLoads()
+    private val self = RegisteredInstance(InstanceId(settings.instanceName), settings.dataCentre, settings.peerAddress)
+    private val peers = ForwardPeers(self, registry, loads, peerLoads)
+    private val freshness = KeyFreshness(settings.revocationMs)
     private val knowledge = FleetKnowledge(control, loads, Clocks::steadyMs)
     private val client = ForwardClient(dialect, CONNECT_TIMEOUT_MS)
     private val reservations = Reservations(client, dialect, holdMsOf(settings))
@@ -37,12 +43,13 @@
     private val parts = ForwardParts(
         dialect = dialect,
         knowledge = knowledge,
-        admission = ForwardAdmission(KeyFreshness(settings.revocationMs)),
+        admission = ForwardAdmission(freshness),
         placement = PlacementRule(),
         patience = PatienceRule(settings.stallMs),
         client = client,
         reservations = reservations,
         loads = loads,
+        peerLoads = peerLoads,
         budgets = RetryBudgets(
             settings.retryFraction * RETRY_SAFETY,
             settings.retryReserve / RESERVE_SHARES,
@@ -85,12 +92,15 @@
     ).toServer(::operate)
 
     /** Whether the balancer may send new connections. */
-    val isReady: Boolean get() = !isStopping && knowledge.config.table != null && knowledge.upstreams.isNotEmpty()
+    val isReady: Boolean
+        get() = !isStopping && knowledge.upstreams.isNotEmpty() &&
+            freshness.mayHonourKeys(knowledge.config.provenAt, Clocks.read())
 
     /** Begins to serve. */
     fun start() {
         configFollower.start()
         upstreamFollower.start()
+        peers.start()
         operations.start()
         server.start()
         log.info("start: {} serves {}:{}", settings.instanceName, settings.listenHost, settings.listenPort)
@@ -119,6 +129,7 @@
     override fun close() {
         configFollower.close()
         upstreamFollower.close()
+        peers.close()
         server.stop()
         operations.stop()
         reservations.close()
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardParts.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardParts.kt
@@ -15,6 +15,7 @@
     val client: ForwardClient,
     val reservations: Reservations,
     val loads: UpstreamLoads,
+    val peerLoads: PeerLoads,
     val budgets: RetryBudgets,
     val metrics: ForwardMetrics,
     val random: Random,
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
@@ -0,0 +1,99 @@
+package org.godwitwick.node.forward
+
+import com.github.michaelbull.result.fold
+import org.godwitwick.core.model.InstanceId
+import org.godwitwick.node.peer.ForwardLoad
+import org.godwitwick.node.peer.Peer
+import org.godwitwick.node.peer.PeerDirectory
+import org.godwitwick.node.peer.PeerIdentity
+import org.godwitwick.node.peer.PeerTransport
+import org.slf4j.LoggerFactory
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+
+/**
+ * Tells the other instances what this one has sent to each upstream, several times a second. Nothing depends on a single message:
+ * without any, an instance places by its own work.
+ */
+class ForwardPeers(
+    private val self: RegisteredInstance,
+    private val registry: InstanceRegistry,
+    private val loads: UpstreamLoads,
+    private val peerLoads: PeerLoads,
+) : AutoCloseable {
+    private val registration = Executors.newSingleThreadScheduledExecutor { Thread(it, "registration").apply { isDaemon = true } }
+    private val exchange = Executors.newSingleThreadScheduledExecutor { Thread(it, "load-exchange").apply { isDaemon = true } }
+
+    @Volatile
+    private var others: Map<InstanceId, RegisteredInstance> = emptyMap()
+
+    @Volatile
+    private var transport: PeerTransport? = null
+    private var hadWork = false
+
+    /** Instances of the fleet, this one included. */
+    val instanceCount: Int get() = others.size + 1
+
+    /** Registers this instance and begins the exchange. */
+    fun start() {
+        registration.scheduleWithFixedDelay(::announce, 0, ANNOUNCE_PERIOD_MS, TimeUnit.MILLISECONDS)
+        exchange.scheduleAtFixedRate(::tell, EXCHANGE_PERIOD_MS, EXCHANGE_PERIOD_MS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun announce() = guarded {
+        if (transport == null) registry.sharedSecret().fold(::open) { log.warn("peers: no shared secret: {}", it.message) }
+        registry.announce(self).fold(::update) { log.debug("peers: the registry was not reached: {}", it.message) }
+    }
+
+    private fun open(secret: ByteArray) {
+        val directory = object : PeerDirectory {
+            override fun addressOf(id: InstanceId): String? = others[id]?.address
+
+            override fun livePeers(): List<Peer> = others.values.map { Peer(it.id, "", it.dataCentre) }
+        }
+        val opened = PeerTransport(PeerIdentity(self.id, System.currentTimeMillis(), secret), directory)
+        opened.handle(ForwardLoad::class.java) { from, load ->
+            peerLoads.take(from, load, Clocks.steadyMs())
+            null
+        }
+        opened.start(self.address.substringBeforeLast(':'), self.address.substringAfterLast(':').toInt())
+        transport = opened
+    }
+
+    private fun update(all: List<RegisteredInstance>) {
+        val now = all.filter { it.id != self.id }.associateBy { it.id }
+        if (now != others) log.info("peers: {} other instances are registered", now.size)
+        others = now
+    }
+
+    private fun tell() = guarded {
+        val work = loads.all(Clocks.steadyMs())
+        // One empty message says that the work has ended; further ones would say nothing new.
+        if (work.isEmpty() && !hadWork) return@guarded
+        hadWork = work.isNotEmpty()
+        val message = ForwardLoad.of(work, System.currentTimeMillis())
+        others.keys.forEach { transport?.send(it, message) }
+    }
+
+    // A scheduled task that throws is never run again.
+    private fun guarded(task: () -> Unit) = try {
+        task()
+    } catch (e: RuntimeException) {
+        log.error("peers: task failed", e)
+    }
+
+    override fun close() {
+        registration.shutdownNow()
+        exchange.shutdownNow()
+        transport?.close()
+    }
+
+    private companion object {
+        /** A third of the registration's time to live. */
+        const val ANNOUNCE_PERIOD_MS = 1_000L
+
+        /** A short request is read in about a quarter of this time. */
+        const val EXCHANGE_PERIOD_MS = 100L
+        val log = LoggerFactory.getLogger(ForwardPeers::class.java)
+    }
+}
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -14,6 +14,7 @@
 import org.godwitwick.core.forward.RouteKind
 import org.godwitwick.core.forward.SendCounts
 import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.core.forward.UpstreamView
 import org.godwitwick.core.forward.failureOf
 import org.godwitwick.core.forward.nextStep
 import org.godwitwick.core.forward.urgencyOf
@@ -85,8 +86,9 @@
     private fun attempt(admitted: AdmittedTarget, serviceName: String, lastEventId: Long?): Opened? {
         val spec = parts.knowledge.config.table?.serviceOf(serviceName)
         val placement = place(spec, serviceName) ?: return Opened.Failed(unplaced(spec))
-        val work = PlacedWork(placement, readMsOf(spec, placement), heldTokensOf(placement))
-        val progress = parts.loads.begin(work)
+        val isShortStream = admitted.route.kind is RouteKind.Streaming && request.size?.let(parts.placement::isShort) != false
+        val work = PlacedWork(placement, readMsOf(spec, placement), heldTokensOf(placement), isShortStream)
+        val progress = parts.loads.begin(work, Clocks.steadyMs())
         val held = parts.reservations.reserve(placement, request.id)
         if (held == null) {
             progress.end()
@@ -206,13 +208,18 @@
         val known = parts.knowledge.upstreams[serviceName].orEmpty().filter { it.address !in avoided }
         // With all upstreams tried, one of them is better than none.
         val open = known.filter { it !in tried }.ifEmpty { known }
-        val views = open.shuffled(parts.random).map { parts.loads.viewOf(it, nowMs) }
+        val views = open.shuffled(parts.random).map { viewOf(it, nowMs) }
         val engine = spec?.engine
         val size = request.size
         if (engine == null || size == null) return parts.placement.place(views)
         return parts.placement.place(size, engine, views)
     }
 
+    private fun viewOf(entry: UpstreamEntry, nowMs: Long): UpstreamView {
+        val work = parts.loads.workAt(entry, nowMs) + parts.peerLoads.workAt(entry, nowMs)
+        return UpstreamView(entry, work, parts.loads.penaltyOf(entry, nowMs))
+    }
+
     private fun unplaced(spec: ForwardService?): Failure {
         lastEnd?.let { return failureOf(it, counts) }
         val isKnown = parts.knowledge.upstreams[spec?.name].orEmpty().isNotEmpty()
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardSettings.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardSettings.kt
@@ -3,6 +3,7 @@
 /**
  * Settings of a forwarding instance, as its platform gives them.
  *
+ * @property peerAddress `ip:port` on which other instances are accepted.
  * @property listenHost address on which callers are served.
  * @property readinessPath path that the balancer asks for.
  * @property heartbeatMs time between two records of an upstream in the store.
@@ -17,6 +18,8 @@
  */
 data class ForwardSettings(
     val instanceName: String,
+    val dataCentre: String,
+    val peerAddress: String,
     val listenHost: String,
     val listenPort: Int,
     val readinessHost: String,
--- a/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamLoads.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamLoads.kt
@@ -2,7 +2,7 @@
 
 import org.godwitwick.core.forward.Placement
 import org.godwitwick.core.forward.UpstreamEntry
-import org.godwitwick.core.forward.UpstreamView
+import org.godwitwick.core.forward.UpstreamWork
 import org.godwitwick.core.model.InstanceId
 
 /**
@@ -11,49 +11,63 @@
  * @property readMs reading time of each engine that takes part, in milliseconds.
  * @property heldTokens tokens that the first engine holds.
  */
-data class PlacedWork(val placement: Placement, val readMs: Double, val heldTokens: Long)
+data class PlacedWork(val placement: Placement, val readMs: Double, val heldTokens: Long, val isShortStream: Boolean)
 
 /** What this instance has sent to each upstream and not seen end. */
 class UpstreamLoads {
-    private class Load(var bornMs: Long?) {
-        var pendingReadMs = 0.0
+    private class Load(val bornMs: Long?) {
+        // Reads run one after the other, so the time at which the last one ends tells what is pending.
+        var readingUntilMs = 0L
         var running = 0
+        var shortStreams = 0
         var helping = 0
         var heldTokens = 0L
         var penaltyMs = 0.0
         var penaltyAtMs = 0L
 
-        fun penaltyAt(nowMs: Long): Double {
-            val halves = (nowMs - penaltyAtMs).toDouble() / PENALTY_HALF_LIFE_MS
-            return penaltyMs * Math.pow(0.5, halves)
+        fun addReading(readMs: Double, nowMs: Long) {
+            readingUntilMs = maxOf(readingUntilMs, nowMs) + readMs.toLong()
         }
+
+        fun workAt(nowMs: Long) =
+            UpstreamWork((readingUntilMs - nowMs).coerceAtLeast(0).toDouble(), running, shortStreams, helping, heldTokens)
+
+        fun penaltyAt(nowMs: Long): Double = penaltyMs * Math.pow(0.5, (nowMs - penaltyAtMs).toDouble() / PENALTY_HALF_LIFE_MS)
     }
 
     private val loads = HashMap<InstanceId, Load>()
 
-    /** The view of [entry] for a placement at [nowMs]. */
+    /** This instance's work at [entry]. */
+    @Synchronized
+    fun workAt(entry: UpstreamEntry, nowMs: Long): UpstreamWork = loadOf(entry).workAt(nowMs)
+
+    /** Disadvantage of [entry] for recent failures, in milliseconds. */
     @Synchronized
-    fun viewOf(entry: UpstreamEntry, nowMs: Long): UpstreamView {
-        val load = loadOf(entry)
-        return UpstreamView(entry, load.pendingReadMs, load.running, load.helping, load.heldTokens, load.penaltyAt(nowMs))
+    fun penaltyOf(entry: UpstreamEntry, nowMs: Long): Double = loadOf(entry).penaltyAt(nowMs)
+
+    /** This instance's work at all upstreams that have any. */
+    @Synchronized
+    fun all(nowMs: Long): Map<InstanceId, UpstreamWork> = loads.mapValues { it.value.workAt(nowMs) }.filterValues {
+        it !=
+            UpstreamWork()
     }
 
     /** Counts [work] in. */
     @Synchronized
-    fun begin(work: PlacedWork): WorkInProgress {
-        with(loadOf(work.placement.upstream)) {
-            running++
-            pendingReadMs += work.readMs
-            heldTokens += work.heldTokens
-        }
-        work.placement.helpers.forEach { helper ->
-            with(loadOf(helper.upstream)) {
-                helping++
-                pendingReadMs += work.readMs
-                heldTokens += helper.reservedTokens
-            }
+    fun begin(work: PlacedWork, nowMs: Long): WorkInProgress {
+        val first = loadOf(work.placement.upstream)
+        first.running++
+        if (work.isShortStream) first.shortStreams++
+        first.addReading(work.readMs, nowMs)
+        first.heldTokens += work.heldTokens
+        val helpers = work.placement.helpers.map { helper ->
+            val load = loadOf(helper.upstream)
+            load.helping++
+            load.addReading(work.readMs, nowMs)
+            load.heldTokens += helper.reservedTokens
+            load to helper.reservedTokens
         }
-        return WorkInProgress(work)
+        return CountedWork(work, first, helpers)
     }
 
     /** Notes a failure of [entry] at [nowMs]; the next placements prefer others. */
@@ -65,10 +79,10 @@
         }
     }
 
-    /** Forgets upstreams that aren't in [known]. */
+    /** Forgets upstreams that aren't in [known] and have no work. */
     @Synchronized
     fun retain(known: Set<InstanceId>) {
-        loads.keys.removeAll { it !in known && loads.getValue(it).running == 0 }
+        loads.entries.removeAll { (id, load) -> id !in known && load.running == 0 && load.helping == 0 }
     }
 
     private fun loadOf(entry: UpstreamEntry): Load {
@@ -78,30 +92,34 @@
         return Load(entry.bornMs).also { loads[entry.id] = it }
     }
 
-    /** Work that has been counted in and not out. */
-    inner class WorkInProgress(private val work: PlacedWork) {
+    /** Ends work that was counted in. */
+    interface WorkInProgress {
+        /** The prompt has been read. */
+        fun readingEnded()
+
+        /** The request has ended. */
+        fun end()
+    }
+
+    private inner class CountedWork(
+        private val work: PlacedWork,
+        private val first: Load,
+        private val helpers: List<Pair<Load, Long>>,
+    ) : WorkInProgress {
         private var isReading = true
         private var isEnded = false
-        private val first = loadOf(work.placement.upstream)
-        private val helpers = work.placement.helpers.map { loadOf(it.upstream) to it.reservedTokens }
 
-        /** The prompt has been read. */
-        fun readingEnded() = synchronized(this@UpstreamLoads) {
-            if (!isReading) return@synchronized
+        override fun readingEnded() = synchronized(this@UpstreamLoads) {
+            if (isReading) helpers.forEach { (load, _) -> load.helping-- }
             isReading = false
-            first.pendingReadMs -= work.readMs
-            helpers.forEach { (load, _) ->
-                load.pendingReadMs -= work.readMs
-                load.helping--
-            }
         }
 
-        /** The request has ended. */
-        fun end() = synchronized(this@UpstreamLoads) {
+        override fun end() = synchronized(this@UpstreamLoads) {
             if (isEnded) return@synchronized
             isEnded = true
             readingEnded()
             first.running--
+            if (work.isShortStream) first.shortStreams--
             first.heldTokens -= work.heldTokens
             helpers.forEach { (load, tokens) -> load.heldTokens -= tokens }
         }
--- a/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
@@ -135,7 +135,7 @@
                 // With "Connection: close" Undertow would mark the end of the body by closing the connection, as an abort does.
                 exchange.responseHeaders.put(Headers.TRANSFER_ENCODING, "chunked")
             }
-            if (isClosing()) exchange.isPersistent = false
+            if (isClosing() || response.header("Connection") == "close") exchange.isPersistent = false
             response.body.stream.use { body -> copyOrAbort(exchange, body, caller) }
         }
 
