--- a/core/src/main/kotlin/org/godwitwick/core/forward/PlacementRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/PlacementRule.kt
@@ -34,7 +34,7 @@
         val shared = candidates.sortedBy { rankOf(it.entry) }.take(sharing).shuffled(random).take(settings.sampled)
         val best = shared.minBy { shortCostMs(it, profile) }
         val other = candidates.shuffled(random).take(settings.sampled).minBy { shortCostMs(it, profile) }
-        val isBestBusy = shortCostMs(best, profile) > shortCostMs(other, profile) + settings.calmReadMs
+        val isBestBusy = shortCostMs(best, profile) > shortCostMs(other, profile) + settings.escapeMs
         return Placement((if (isBestBusy) other else best).entry, emptyList())
     }
 
@@ -92,7 +92,7 @@
  * @property maxHelpers most helpers of one prompt; the platform allows 16.
  * @property partReadMs reading time of one part that is aimed at: two parts in one pass are still within a short stream's pause.
  * @property maxPartReadMs reading time of one part that long streams beside it can bear.
- * @property calmReadMs reading for which an engine of the shared ones is left for another: the length of a short pass.
+ * @property escapeMs advantage for which a short request leaves the shared engines: half of its target.
  * @property streamsPerEngine short streams for which one more engine is shared.
  * @property leastSharing engines that short requests share at the least.
  * @property maxMemoryShare share of an engine's memory up to which one request is held by one engine.
@@ -106,10 +106,10 @@
     val longPromptTokens: Long = 20_000,
     val maxHelpers: Int = 16,
     val partReadMs: Double = 100.0,
-    val maxPartReadMs: Double = 400.0,
-    val calmReadMs: Double = 60.0,
-    val streamsPerEngine: Int = 3,
-    val leastSharing: Int = 3,
+    val maxPartReadMs: Double = 800.0,
+    val escapeMs: Double = 150.0,
+    val streamsPerEngine: Int = 5,
+    val leastSharing: Int = 2,
     val maxMemoryShare: Double = 0.8,
     val firstMemoryShare: Double = 0.3,
     val reservedShare: Double = 0.25,
