Tests of the forwarding decisions; spread long prompts wide when few engines are free of short streams

The placement test with short streams on all engines failed first: the prompt was read in three parts of 622 ms instead of parts within a pause.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/PlacementRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/PlacementRule.kt
@@ -44,9 +44,9 @@
         val ranked = usable.sortedWith(compareBy({ isShared(it) }, ::costMs))
         val wanted = ceil(totalMs / settings.partReadMs).toInt().coerceIn(1, settings.maxHelpers + 1)
         val least = ceil(totalMs / settings.maxPartReadMs).toInt().coerceIn(1, wanted)
-        // Fewer engines read longer, but those with short streams are spared.
+        // Fewer engines read longer, but those with short streams are spared. With too few left, small parts hurt the streams least.
         val calm = ranked.count { !isShared(it) }
-        val members = ranked.take(if (calm >= wanted) wanted else maxOf(calm.coerceAtMost(wanted), least))
+        val members = ranked.take(if (calm in least until wanted) calm else wanted)
         val room = members.filter { it.work.heldTokens + size.memoryTokens <= profile.memoryTokens }.ifEmpty { members }
         val first = room.minBy { it.work.running + if (isShared(it)) profile.slots else 0 }
         return Placement(first.entry, members.filter { it !== first }.map { Helper(it.entry, 0) })
--- /dev/null
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/FeedFollowerTest.kt
@@ -0,0 +1,92 @@
+package org.godwitwick.node.forward
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import org.godwitwick.core.forward.ClockReading
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
+
+class FeedFollowerTest {
+    private var nowMs = 1_000L
+    private val answers = ArrayDeque<() -> Result<FeedPage<String>, FeedFailure>>()
+    private val heard = ArrayList<String>()
+    private var provenAt: ClockReading? = null
+    private val feed = object : RecordFeed<String> {
+        override fun newest(): Result<FeedSnapshot<String>, FeedFailure> = Ok(FeedSnapshot(mapOf("a" to "1"), 5))
+
+        override fun changes(fromOffset: Long, waitMs: Long) = answers.removeFirst()()
+    }
+    private val listener = object : FeedListener<String> {
+        override fun onSnapshot(items: Map<String, String?>, provenAt: ClockReading) {
+            heard += "snapshot $items"
+            this@FeedFollowerTest.provenAt = provenAt
+        }
+
+        override fun onChanges(items: List<Pair<String, String?>>, provenAt: ClockReading) {
+            heard += "changes $items"
+            this@FeedFollowerTest.provenAt = provenAt
+        }
+
+        override fun onRegained() {
+            heard += "regained"
+        }
+    }
+    private val follower =
+        FeedFollower("test", feed, FeedPacing(waitMs = 2_000, periodMs = 0, outageMs = 1_200), listener) {
+            ClockReading(nowMs, nowMs)
+        }
+
+    private fun answer(afterMs: Long, result: Result<FeedPage<String>, FeedFailure>) = answers.addLast {
+        nowMs += afterMs
+        result
+    }
+
+    private fun empty() = Ok(FeedPage<String>(emptyList(), 5))
+
+    // Guards against a long poll that is taken as proof of the moment at which it was answered.
+    @Test
+    fun `an answer proves the moment at which it was asked for`() {
+        follower.step()
+        answer(700, Ok(FeedPage(listOf("a" to "2"), 6)))
+        follower.step()
+        expectThat(provenAt?.steadyMs).isEqualTo(1_000)
+    }
+
+    @Test
+    fun `an empty answer after the whole wait proves the end of the wait`() {
+        follower.step()
+        answer(2_005, empty())
+        follower.step()
+        expectThat(provenAt?.steadyMs).isEqualTo(3_000)
+    }
+
+    @Test
+    fun `an empty answer before the end of the wait proves the moment at which it was asked for`() {
+        follower.step()
+        answer(300, empty())
+        follower.step()
+        expectThat(provenAt?.steadyMs).isEqualTo(1_000)
+    }
+
+    @Test
+    fun `a dropped history is followed by the snapshot`() {
+        follower.step()
+        answer(1, Err(FeedFailure.HistoryDropped("gone")))
+        follower.step()
+        follower.step()
+        expectThat(heard).containsExactly("snapshot {a=1}", "snapshot {a=1}")
+    }
+
+    @Test
+    fun `an outage is told before what is read after it`() {
+        follower.step()
+        answer(2_000, Err(FeedFailure.Unreachable("down")))
+        answer(1, Ok(FeedPage(listOf("a" to null), 6)))
+        follower.step()
+        follower.step()
+        expectThat(heard).containsExactly("snapshot {a=1}", "regained", "changes [(a, null)]")
+    }
+}
