--- a/core/src/main/kotlin/org/godwitwick/core/forward/PlacementRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/PlacementRule.kt
@@ -109,7 +109,7 @@
     val maxPartReadMs: Double = 800.0,
     val escapeMs: Double = 150.0,
     val streamsPerEngine: Int = 5,
-    val leastSharing: Int = 2,
+    val leastSharing: Int = 4,
     val maxMemoryShare: Double = 0.8,
     val firstMemoryShare: Double = 0.3,
     val reservedShare: Double = 0.25,
