--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -92,10 +92,19 @@
         OPERATION_THREADS,
     ).toServer(::operate)
 
+    /** Port on which callers are served, after [start]. */
+    val port: Int get() = server.port()
+
+    /** Port on which readiness and metrics are served, after [start]. */
+    val operationsPort: Int get() = operations.port()
+
     /** Whether the balancer may send new connections. */
     val isReady: Boolean
-        get() = !isStopping && knowledge.upstreams.isNotEmpty() &&
-            freshness.mayHonourKeys(knowledge.config.provenAt, Clocks.read())
+        get() {
+            val config = knowledge.config
+            val knowsFleet = config.table != null && knowledge.upstreams.isNotEmpty()
+            return !isStopping && knowsFleet && freshness.mayHonourKeys(config.provenAt, Clocks.read())
+        }
 
     /** Begins to serve. */
     fun start() {
--- a/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
@@ -128,6 +128,8 @@
         }
 
         private fun writeResponse(exchange: HttpServerExchange, response: Response, caller: CallerWatch) {
+            // The connection of a caller that left is closed, and nothing can be written to it.
+            if (exchange.isResponseStarted) return response.body.close()
             exchange.statusCode = response.status.code
             response.headers.groupBy({ it.first }, { it.second ?: "" })
                 .forEach { (name, values) -> exchange.responseHeaders.putAll(HttpString(name), values) }
