--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
@@ -37,7 +37,7 @@
 
     /** Registers this instance and begins the exchange. */
     fun start() {
-        registration.scheduleWithFixedDelay(::announce, 0, ANNOUNCE_PERIOD_MS, TimeUnit.MILLISECONDS)
+        registration.scheduleWithFixedDelay(::announce, FIRST_ANNOUNCE_MS, ANNOUNCE_PERIOD_MS, TimeUnit.MILLISECONDS)
         exchange.scheduleAtFixedRate(::tell, EXCHANGE_PERIOD_MS, EXCHANGE_PERIOD_MS, TimeUnit.MILLISECONDS)
     }
 
@@ -92,6 +92,9 @@
     }
 
     private companion object {
+        /** Peers can wait until an instance that starts has begun to serve. */
+        const val FIRST_ANNOUNCE_MS = 1_000L
+
         /** A third of the registration's time to live. */
         const val ANNOUNCE_PERIOD_MS = 1_000L
 
