--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -150,8 +150,8 @@
     private companion object {
         val log = LoggerFactory.getLogger(ForwardNode::class.java)
 
-        /** Connections within a region take a few milliseconds; a lost packet is sent again after a second. */
-        const val CONNECT_TIMEOUT_MS = 300L
+        /** Connections within a region take a few milliseconds. A lost packet is sent again after a second, so waiting longer gains little. */
+        const val CONNECT_TIMEOUT_MS = 150L
 
         /** Each request in flight holds a thread. */
         const val WORKER_THREADS = 160
