--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
@@ -98,11 +98,11 @@
         /** A third of the registration's time to live. */
         const val ANNOUNCE_PERIOD_MS = 1_000L
 
-        /** A short request is read in about a quarter of this time. */
-        const val EXCHANGE_PERIOD_MS = 100L
+        /** Less than the target of a short request; each exchange costs processor time for every pair of instances. */
+        const val EXCHANGE_PERIOD_MS = 200L
 
         /** Rounds without work after which an instance tells so again, half of the time after which it counts as silent. */
-        const val IDLE_ROUNDS = 5
+        const val IDLE_ROUNDS = 3
         val log = LoggerFactory.getLogger(ForwardPeers::class.java)
     }
 }
