Refuse requests that can't be sent unchanged; end a request's guard when its handling fails

A header with control characters would have ended the handling of a request by an exception, and its guard would have counted as in flight for ever.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -2,6 +2,7 @@
 
 import okhttp3.Call
 import okhttp3.ConnectionPool
+import okhttp3.Headers
 import okhttp3.HttpUrl.Companion.toHttpUrlOrNull
 import okhttp3.MediaType.Companion.toMediaType
 import okhttp3.OkHttpClient
@@ -51,12 +52,27 @@
     // A connection that the upstream has just closed would end a call after its first byte, with an unknown outcome.
     private val unpooled = pooled.newBuilder().connectionPool(ConnectionPool(0, 1, TimeUnit.NANOSECONDS)).build()
 
+    /** Why [request] can't be sent unchanged, or null when it can. */
+    fun faultOf(request: CallerRequest): String? {
+        val url = "http://$ANY_HOST${request.target}".toHttpUrlOrNull() ?: return "the target is not valid"
+        // The library rewrites some targets, such as those with dot segments.
+        if (url.encodedPath + (url.encodedQuery?.let { "?$it" } ?: "") !=
+            request.target
+        ) {
+            return "the target is not in its plain form"
+        }
+        return try {
+            Headers.Builder().apply { request.headers.forEach { (name, value) -> add(name, value) } }
+            null
+        } catch (_: IllegalArgumentException) {
+            "a header holds characters that are not allowed"
+        }
+    }
+
     /** Sends [call] with [body]; a call that isn't [isIdempotent] gets a connection of its own. [guard] may cancel it. */
     fun send(call: UpstreamCall, body: ByteArray, isIdempotent: Boolean, guard: RunGuard, started: (Call) -> Unit): SendResult {
         val gate = WriteGate()
-        val request = requestOf(call, body, gate)
-            ?: return SendResult.Ended(AttemptEnd.NotSent("the path can't be sent unchanged"))
-        val sent = (if (isIdempotent) pooled else unpooled).newCall(request)
+        val sent = (if (isIdempotent) pooled else unpooled).newCall(requestOf(call, body, gate))
         started(sent)
         return try {
             headOf(call, sent, sent.execute())
@@ -114,13 +130,10 @@
         return if (gate.mayBeWritten) AttemptEnd.Broken(cause) else AttemptEnd.NotSent(cause)
     }
 
-    private fun requestOf(call: UpstreamCall, body: ByteArray, gate: WriteGate): Request? {
-        val target = call.request.target
-        val url = "http://${call.upstream.address}$target".toHttpUrlOrNull() ?: return null
-        // The library rewrites some paths, such as those with dot segments.
-        val written = url.encodedPath + (url.encodedQuery?.let { "?$it" } ?: "")
-        if (written != target) return null
-        val request = Request.Builder().url(url).tag(WriteGate::class.java, gate)
+    private fun requestOf(call: UpstreamCall, body: ByteArray, gate: WriteGate): Request {
+        val request = Request.Builder().url(
+            "http://${call.upstream.address}${call.request.target}",
+        ).tag(WriteGate::class.java, gate)
         val encoded = dialect.encode(call)
         encoded.forEach { (name, value) -> request.addHeader(name, value) }
         // Without these OkHttp would add its own.
@@ -136,6 +149,7 @@
         /** Shorter than the idle timeout that upstreams state, of 5 s and more. */
         const val IDLE_MS = 4_000L
         val JSON_MEDIA_TYPE = "application/json".toMediaType()
+        const val ANY_HOST = "127.0.0.1"
         const val ACCEPT_ENCODING = "Accept-Encoding"
         val METHODS_WITHOUT_BODY = setOf("GET", "HEAD")
         val SUCCESS = 200..299
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
@@ -25,6 +25,7 @@
 
     private fun accepted(decoded: CallerRequest, request: Request, caller: CallerWatch): Result<Response, Failure> {
         if (watch.count >= maxInFlight) return Err(Failure(ErrorKind.OVERLOADED, "too many requests are in flight"))
+        parts.client.faultOf(decoded)?.let { return Err(Failure(ErrorKind.BAD_REQUEST, it)) }
         val target = ForwardTarget(decoded.host, decoded.path, decoded.key)
         val admitted = parts.admission.admit(target, parts.knowledge.config, Clocks.read()).getOrElse { return Err(it) }
         val arrivedMs = arrivalOf(request)
@@ -33,8 +34,14 @@
         val guard = RunGuard(arrivedMs + timeoutMs)
         caller.onGone(guard::callerGone)
         watch.add(guard)
-        val run = ForwardRun(parts, decoded, body, arrivedMs, guard) { watch.remove(guard) }
-        return Ok(run.answer())
+        return try {
+            Ok(ForwardRun(parts, decoded, body, arrivedMs, guard) { watch.remove(guard) }.answer())
+        } catch (e: RuntimeException) {
+            // A fault of this program; without its guard the request would count as in flight for ever.
+            watch.remove(guard)
+            log.error("forward: {} failed", decoded.id, e)
+            Err(Failure(ErrorKind.INTERNAL, "the request could not be handled"))
+        }
     }
 
     private fun arrivalOf(request: Request): Long =
