Count an exchange as in flight until its handler has returned

A drain could have ended a process before the record was written. Ruled out: the monitor of callers, which that server doesn't use. The prefixes of the new parts are listed, and 'peers:' is 'peer:' as elsewhere.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
@@ -42,8 +42,8 @@
     }
 
     private fun announce() = guarded {
-        if (transport == null) registry.sharedSecret().fold(::open) { log.warn("peers: no shared secret: {}", it.message) }
-        registry.announce(self).fold(::update) { log.debug("peers: the registry was not reached: {}", it.message) }
+        if (transport == null) registry.sharedSecret().fold(::open) { log.warn("peer: no shared secret: {}", it.message) }
+        registry.announce(self).fold(::update) { log.debug("peer: the registry was not reached: {}", it.message) }
     }
 
     private fun open(secret: ByteArray) {
@@ -63,7 +63,7 @@
 
     private fun update(all: List<RegisteredInstance>) {
         val now = all.filter { it.id != self.id }.associateBy { it.id }
-        if (now != others) log.info("peers: {} other instances are registered", now.size)
+        if (now != others) log.info("peer: {} other instances are registered", now.size)
         others = now
     }
 
@@ -82,7 +82,7 @@
     private fun guarded(task: () -> Unit) = try {
         task()
     } catch (e: RuntimeException) {
-        log.error("peers: task failed", e)
+        log.error("peer: task failed", e)
     }
 
     override fun close() {
--- a/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
@@ -67,9 +67,10 @@
     }
 
     private fun counted(next: UndertowHandler) = UndertowHandler { exchange ->
-        inFlight.enter()
+        val presence = Presence(inFlight)
+        exchange.putAttachment(Presence.KEY, presence)
         exchange.addExchangeCompleteListener { _, nextListener ->
-            inFlight.leave()
+            presence.completed()
             nextListener.proceed()
         }
         next.handleRequest(exchange)
@@ -94,11 +95,16 @@
         private val isTargetRaw: Boolean,
     ) : UndertowHandler {
         // The answer's body is produced on this thread, so the logging context of the request holds until the last byte.
-        override fun handleRequest(exchange: HttpServerExchange) = try {
-            if (isClosing()) exchange.isPersistent = false
-            handle(exchange)
-        } finally {
-            MDC.clear()
+        override fun handleRequest(exchange: HttpServerExchange) {
+            val presence = exchange.getAttachment(Presence.KEY)
+            presence.handlerBegan()
+            try {
+                if (isClosing()) exchange.isPersistent = false
+                handle(exchange)
+            } finally {
+                MDC.clear()
+                presence.handlerReturned()
+            }
         }
 
         private fun handle(exchange: HttpServerExchange) {
--- a/node/src/test/kotlin/org/godwitwick/node/LogPrefixTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/LogPrefixTest.kt
@@ -12,7 +12,9 @@
 /** Guards against log lines that can't be filtered by part. A new part adds its prefix here and in docs/operators/running.md. */
 class LogPrefixTest {
     private val upstreamParts = listOf("engine", "group", "list", "log", "order", "place", "service", "upstream", "weights")
-    private val prefixes = "admin admit claim config control drain health http node peer".split(' ') + upstreamParts
+    private val forwardParts = listOf("feed", "forward", "reserve", "start", "stop")
+    private val prefixes =
+        "admin admit claim config control drain health http node peer".split(' ') + upstreamParts + forwardParts
     private val logCall = Regex("""\blog\.(?:trace|debug|info|warn|error)\(\s*"([a-z]+:)?""")
 
     @Test
