Refuse new requests once an instance has been stopping for a while

Drain, which already refused after the notice time, now serves both programs, with a limit for platforms that end a process after a fixed time. Ruled out: kept connections, which are told to close with each answer.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
@@ -7,6 +7,7 @@
 import org.godwitwick.core.error.ErrorKind
 import org.godwitwick.core.error.Failure
 import org.godwitwick.core.forward.ForwardTarget
+import org.godwitwick.core.model.Deadline
 import org.godwitwick.node.http.CallerWatch
 import org.godwitwick.node.http.StreamingUndertow
 import org.http4k.core.Request
@@ -15,8 +16,19 @@
 import java.io.IOException
 import java.util.concurrent.TimeUnit
 
-/** Answers callers: checks their requests, reads the bodies and forwards. */
-class ForwardHandler(private val parts: ForwardParts, private val watch: RunWatch, private val maxInFlight: Int) {
+/**
+ * Answers callers: checks their requests, reads the bodies and forwards.
+ *
+ * @property refusal the failure that every new request gets now, or null.
+ * @property onDeadline told the deadline of each request that is accepted.
+ */
+class ForwardHandler(
+    private val parts: ForwardParts,
+    private val watch: RunWatch,
+    private val maxInFlight: Int,
+    private val refusal: () -> Failure?,
+    private val onDeadline: (Deadline) -> Unit,
+) {
     /** Answers [request]. */
     fun answer(request: Request, caller: CallerWatch): Response {
         val decoded = parts.dialect.decode(request).getOrElse { return refused(it, "") }
@@ -24,6 +36,7 @@
     }
 
     private fun accepted(decoded: CallerRequest, request: Request, caller: CallerWatch): Result<Response, Failure> {
+        refusal()?.let { return Err(it.copy(retryAfterMs = 0)) }
         if (watch.count >= maxInFlight) return Err(Failure(ErrorKind.OVERLOADED, "too many requests are in flight"))
         parts.client.faultOf(decoded)?.let { return Err(Failure(ErrorKind.BAD_REQUEST, it)) }
         val target = ForwardTarget(decoded.host, decoded.path, decoded.key)
@@ -32,6 +45,7 @@
         val timeoutMs = minOf(decoded.patienceMs ?: admitted.route.timeoutMs, admitted.route.timeoutMs)
         val body = bodyOf(request).getOrElse { return Err(it) }
         val guard = RunGuard(arrivedMs + timeoutMs)
+        onDeadline(Deadline(guard.deadlineMs))
         caller.onGone(guard::callerGone)
         watch.add(guard)
         return try {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -8,7 +8,9 @@
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.control.ControlThread
+import org.godwitwick.node.http.Drain
 import org.godwitwick.node.http.InFlight
+import org.godwitwick.node.http.ReadinessGate
 import org.godwitwick.node.http.StreamingUndertow
 import org.godwitwick.node.metrics.NodeMetrics
 import org.http4k.core.Request
@@ -74,18 +76,23 @@
         Clocks::read,
     )
 
-    @Volatile
-    private var isStopping = false
+    private val drain = Drain(
+        ReadinessGate(),
+        inFlight,
+        NOTICE_MS,
+        Clocks::steadyMs,
+        limitMs = (settings.graceMs - NOTICE_MS - STOP_MARGIN_MS).coerceAtLeast(0),
+    )
     private val server = StreamingUndertow(
         settings.listenHost,
         settings.listenPort,
         WORKER_THREADS,
         maxHeaderBytes = MAX_HEADER_BYTES,
         inFlight = inFlight,
-        isClosing = { isStopping },
+        isClosing = drain::isDraining,
         idleTimeoutMs = IDLE_TIMEOUT_MS,
         headerTimeoutMs = HEADER_TIMEOUT_MS,
-    ).toWatchingServer(ForwardHandler(parts, runs, MAX_IN_FLIGHT)::answer)
+    ).toWatchingServer(ForwardHandler(parts, runs, MAX_IN_FLIGHT, drain::refusal, inFlight::extendTo)::answer)
     private val operations = StreamingUndertow(
         settings.readinessHost,
         settings.readinessPort,
@@ -103,7 +110,7 @@
         get() {
             val config = knowledge.config
             val knowsFleet = config.table != null && knowledge.upstreams.isNotEmpty()
-            return !isStopping && knowsFleet && freshness.mayHonourKeys(config.provenAt, Clocks.read())
+            return !drain.isDraining && knowsFleet && freshness.mayHonourKeys(config.provenAt, Clocks.read())
         }
 
     /** Begins to serve. */
@@ -116,18 +123,15 @@
         log.info("start: {} serves {}:{}", settings.instanceName, settings.listenHost, settings.listenPort)
     }
 
-    /** Fails readiness and asks callers to reconnect elsewhere; requests are still served. */
-    fun beginStop() {
-        isStopping = true
-        log.info("stop: begun with {} requests in flight", inFlight.count)
-    }
+    /** Fails readiness and asks callers to reconnect elsewhere; requests are still served for a while. */
+    fun beginStop() = drain.begin()
 
-    /** Waits until the balancer has noticed and nothing is in flight, at the longest for most of the grace period. */
+    /**
+     * Waits until the balancer has noticed, refuses new requests from then on, and waits until nothing is in flight, at the longest for
+     * most of the grace period.
+     */
     fun awaitStopped() {
-        val endMs = Clocks.steadyMs() + settings.graceMs - STOP_MARGIN_MS
-        val noticedMs = Clocks.steadyMs() + NOTICE_MS
-        while (Clocks.steadyMs() < endMs && (Clocks.steadyMs() < noticedMs || inFlight.count > 0)) Thread.sleep(STOP_POLL_MS)
-        log.info("stop: ended with {} requests in flight", inFlight.count)
+        drain.await()
     }
 
     private fun operate(request: Request): Response = when (request.uri.path) {
@@ -177,9 +181,11 @@
         const val RESERVE_SHARES = 16
         const val RETRY_SLOTS = 5
 
-        /** The balancer asks once a second and takes an instance out after two misses. */
+        /**
+         * The balancer asks once a second and takes an instance out after two misses. Connections may still come later, when few instances
+         * are ready; what they bring could not be finished in time.
+         */
         const val NOTICE_MS = 2_500L
-        const val STOP_POLL_MS = 50L
         const val STOP_MARGIN_MS = 500L
 
         /** A reservation that nobody extends has to end well before it counts as left behind. */
--- a/node/src/main/kotlin/org/godwitwick/node/http/Drain.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/Drain.kt
@@ -8,6 +8,8 @@
 /**
  * Graceful shutdown: readiness fails at once, new requests are served for [noticeMs] more, so that the load balancer notices, and then
  * refused; those in flight run to their end or deadline.
+ *
+ * @param limitMs longest wait after the notice time, where the platform ends the process after a fixed time.
  */
 class Drain(
     private val gate: ReadinessGate,
@@ -15,6 +17,7 @@
     private val noticeMs: Long,
     private val nowMs: () -> Long,
     private val sleep: (Long) -> Unit = Thread::sleep,
+    private val limitMs: Long = Long.MAX_VALUE,
 ) {
     private val begun = AtomicBoolean()
 
@@ -40,7 +43,7 @@
         sleep(noticeMs)
         isRefusing = true
         log.info("drain: new requests are refused; {} exchanges in flight", inFlight.count)
-        val left = inFlight.awaitNone(nowMs, DEADLINE_GRACE_MS)
+        val left = inFlight.awaitNone(nowMs, DEADLINE_GRACE_MS, limitMs)
         log.info("drain: ended with {} exchanges in flight", left)
         return left
     }
--- a/node/src/main/kotlin/org/godwitwick/node/http/InFlight.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/InFlight.kt
@@ -24,13 +24,15 @@
     fun extendTo(deadline: Deadline) = synchronized(lock) { latestDeadlineMs = maxOf(latestDeadlineMs, deadline.atMs) }
 
     /**
-     * Waits until no exchange is in flight, at the longest until [graceMs] after the latest deadline of those that were admitted.
+     * Waits until no exchange is in flight, at the longest until [graceMs] after the latest deadline of those that were admitted, and
+     * never longer than [limitMs].
      * Returns the number of exchanges that are left.
      */
-    fun awaitNone(nowMs: () -> Long, graceMs: Long): Int = synchronized(lock) {
+    fun awaitNone(nowMs: () -> Long, graceMs: Long, limitMs: Long = Long.MAX_VALUE): Int = synchronized(lock) {
         val startedMs = nowMs()
         while (entered > 0) {
-            val leftMs = maxOf(latestDeadlineMs, startedMs) + graceMs - nowMs()
+            val spentMs = nowMs() - startedMs
+            val leftMs = minOf(maxOf(latestDeadlineMs - startedMs, 0) + graceMs, limitMs) - spentMs
             if (leftMs <= 0) break
             lock.wait(leftMs)
         }
