Tell a failure between two sends as unknown once the request may have run

Found on reading: a key that is withdrawn between two sends gave the right status (502) with a body that said the request had not run. The rule stands beside the other retry rules now, with a test.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/RetryRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/RetryRule.kt
@@ -66,6 +66,12 @@
     return Failure(kind, message, ran, retryAfterMs ?: REFUSED_RETRY_AFTER_MS)
 }
 
+/** [failure] as the caller of a request with [counts] may be told it: a request that may have run isn't reported as not run. */
+fun afterSends(failure: Failure, counts: SendCounts): Failure {
+    if (failure.ran != Ran.NO || counts.mayHaveRun == 0) return failure
+    return Failure(ErrorKind.UPSTREAM_FAILED, failure.message, Ran.UNKNOWN, retryAfterMs = null)
+}
+
 private fun isRepeatable(route: ForwardRoute, end: AttemptEnd.Answered): Boolean =
     route.kind.isIdempotent && end.status in FAILED_STATUSES
 
--- a/core/src/test/kotlin/org/godwitwick/core/forward/RetryRuleTest.kt
+++ b/core/src/test/kotlin/org/godwitwick/core/forward/RetryRuleTest.kt
@@ -1,6 +1,7 @@
 package org.godwitwick.core.forward
 
 import org.godwitwick.core.error.ErrorKind
+import org.godwitwick.core.error.Failure
 import org.godwitwick.core.error.Ran
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -70,6 +71,18 @@
         expectThat(step).isA<NextStep.GiveUp>().get { failure.kind.httpStatus }.isEqualTo(502)
     }
 
+    // Guards against a key that is withdrawn between two sends and turns a request that may have run into one that did not.
+    @Test
+    fun `a failure that means not run is told as unknown once the request may have run`() {
+        val failure = Failure(ErrorKind.CONFIG_UNCONFIRMED, "old")
+        expectThat(afterSends(failure, SendCounts(refused = 1))).isEqualTo(failure)
+        expectThat(afterSends(failure, ran)) {
+            get { kind }.isEqualTo(ErrorKind.UPSTREAM_FAILED)
+            get { this.ran }.isEqualTo(Ran.UNKNOWN)
+            get { retryAfterMs }.isEqualTo(null)
+        }
+    }
+
     @Test
     fun `the budget is not asked when a repeat is not allowed anyway`() {
         var isAsked = false
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -13,6 +13,7 @@
 import org.godwitwick.core.forward.RouteKind
 import org.godwitwick.core.forward.SendCounts
 import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.core.forward.afterSends
 import org.godwitwick.core.forward.failureOf
 import org.godwitwick.core.forward.nextStep
 import org.godwitwick.core.forward.urgencyOf
@@ -45,7 +46,7 @@
     private var lastEventMs = 0L
     private var longestPauseMs = 0L
 
-    /** Why no answer was opened; becomes the caller's failure. */
+    /** What a request has led to: a stream or a whole answer that can be passed on, or the failure that the caller is told. */
     private sealed interface Opened {
         class Stream(val stream: UpstreamStream) : Opened
 
@@ -244,13 +245,7 @@
     }
 
     private fun failed(failure: Failure): Response {
-        val final = if (failure.ran == Ran.NO &&
-            counts.mayHaveRun > 0
-        ) {
-            failure.copy(kind = ErrorKind.UPSTREAM_FAILED)
-        } else {
-            failure
-        }
+        val final = afterSends(failure, counts)
         ended(null, "failed with ${final.kind.code}: ${final.message}")
         return parts.dialect.failureResponse(final, request.id)
     }
