--- a/core/src/main/kotlin/org/godwitwick/core/model/Ids.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/model/Ids.kt
@@ -9,7 +9,7 @@
     override fun toString(): String = value
 }
 
-/** Identifies a tenant. Keys, limits and histograms are kept per organisation. */
+/** Identifies an organisation. Keys, limits and histograms are kept for each. */
 @JvmInline
 @Serializable
 value class OrganisationId(val value: String) {
