--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
@@ -13,7 +13,6 @@
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.slf4j.LoggerFactory
-import java.io.IOException
 import java.util.concurrent.TimeUnit
 
 /**
@@ -43,7 +42,8 @@
         val admitted = parts.admission.admit(target, parts.knowledge.config, Clocks.read()).getOrElse { return Err(it) }
         val arrivedMs = arrivalOf(request)
         val timeoutMs = minOf(decoded.patienceMs ?: admitted.route.timeoutMs, admitted.route.timeoutMs)
-        val body = bodyOf(request).getOrElse { return Err(it) }
+        val limitBytes = parts.knowledge.config.table?.config?.limits?.maxBodyBytes ?: DEFAULT_MAX_BODY_BYTES
+        val body = readBody(request, limitBytes).getOrElse { return Err(it) }
         val guard = RunGuard(arrivedMs + timeoutMs)
         onDeadline(Deadline(guard.deadlineMs))
         caller.onGone(guard::callerGone)
@@ -61,16 +61,6 @@
     private fun arrivalOf(request: Request): Long =
         request.header(StreamingUndertow.ARRIVAL_HEADER)?.toLongOrNull()?.let(TimeUnit.NANOSECONDS::toMillis) ?: Clocks.steadyMs()
 
-    private fun bodyOf(request: Request): Result<ByteArray, Failure> {
-        val limit = parts.knowledge.config.table?.config?.limits?.maxBodyBytes ?: DEFAULT_MAX_BODY_BYTES
-        return try {
-            val body = request.body.stream.use { it.readNBytes(limit + 1) }
-            if (body.size > limit) Err(Failure(ErrorKind.TOO_LARGE, "the body is over $limit bytes")) else Ok(body)
-        } catch (e: IOException) {
-            Err(Failure(ErrorKind.BAD_REQUEST, "the body can't be read: ${e.message}"))
-        }
-    }
-
     private fun refused(failure: Failure, id: String): Response {
         log.info("forward: {} refused with {}: {}", id, failure.kind.code, failure.message)
         parts.metrics.ended("", failure.kind.code, null, 0)
