Stop watching a caller before its answer can be complete

Cause: an answer of known length is complete with its last byte, before the handler has read the end of the body. Ruled out: the upstream and the store, which answered within 11 ms.

--- a/node/src/main/kotlin/org/godwitwick/node/http/CallerMonitor.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/CallerMonitor.kt
@@ -55,7 +55,7 @@
         @Synchronized
         fun check() {
             // Bytes that come before the request's body is read belong to the body.
-            if (isEnded || !exchange.isRequestComplete) return
+            if (isEnded || !exchange.isRequestComplete || exchange.isResponseComplete) return
             val buffer = ByteBuffer.allocate(PEEK_BYTES)
             val count = try {
                 connection.originalSourceConduit.read(buffer)
--- a/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
@@ -143,6 +143,8 @@
                 // With "Connection: close" Undertow would mark the end of the body by closing the connection, as an abort does.
                 exchange.responseHeaders.put(Headers.TRANSFER_ENCODING, "chunked")
             }
+            // An answer with a known length is complete with its last byte, and the caller may send its next request at once.
+            if (response.header("Content-Type") != EVENT_STREAM) caller.close()
             if (isClosing() || response.header("Connection") == "close") exchange.isPersistent = false
             response.body.stream.use { body -> copyOrAbort(exchange, body, caller) }
         }
