--- a/node/src/test/kotlin/org/godwitwick/node/config/ConfigFleetTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/config/ConfigFleetTest.kt
@@ -5,6 +5,7 @@
 import org.godwitwick.core.config.ConfigField
 import org.godwitwick.core.config.ConfigRecord
 import org.godwitwick.core.config.Freshness
+import org.godwitwick.core.config.Publication
 import org.godwitwick.core.config.decodeConfigRecord
 import org.godwitwick.core.config.encodeConfigRecord
 import org.godwitwick.core.membership.RowTopic
@@ -105,7 +106,7 @@
         fleet(dataCentres = 3, each = 3)
         instances.filter { it.id.startsWith("entry-2") }.forEach { it.access.isCut = true }
         val publishedNs = System.nanoTime()
-        val result = instances.first().system.publications.publish(queueMax("a", 77))
+        val result = publish(queueMax("a", 77))
         println("publication known to be in force on 9 instances after ${(System.nanoTime() - publishedNs) / 1_000_000} ms")
         expectThat(result).isA<PublicationResult.Accepted>().and {
             get { inForce }.hasSize(9)
@@ -124,13 +125,25 @@
         expectThat(perSecond).isLessThan(MAX_BYTES_PER_SECOND)
     }
 
+    // An instance that hasn't heard yet that a majority is confirmed refuses a publication and says when to come again.
+    private fun publish(publication: Publication): PublicationResult {
+        val publications = instances.first().system.publications
+        var result: PublicationResult = PublicationResult.NotAppended("not tried", 0)
+        await("a majority that is confirmed") {
+            result = publications.publish(publication)
+            result !is PublicationResult.NotAppended
+        }
+        expectThat(result).isA<PublicationResult.Accepted>()
+        return result
+    }
+
     private fun sentBytes() = instances.sumOf { checkNotNull(it.system.peers.transport).sentBytes }
 
     // Guards against a log outage stopping the fleet, an instance that starts in it serving defaults, and one alone serving on.
     @Test
     fun `in a log outage instances go on, a new one starts from its peers and an isolated one refuses`() {
         fleet(dataCentres = 2, each = 3)
-        instances.first().system.publications.publish(queueMax("a", 77))
+        publish(queueMax("a", 77))
         log.isDown = true
         var refused = false
         await("outage recognised") {
@@ -159,9 +172,8 @@
     @Test
     fun `after all instances are replaced and the first records expired the configuration is the same`() {
         fleet(dataCentres = 1, each = 3)
-        val publications = instances.first().system.publications
-        publications.publish(queueMax("a", 5))
-        publications.publish(queueMax("b", 6, expected = 0))
+        publish(queueMax("a", 5))
+        publish(queueMax("b", 6, expected = 0))
         val before = instances.first().system.store.state
         log.append(CONFIG_STREAM, encodeConfigRecord(ConfigRecord.Snapshot(before.toSnapshot())), 100)
         log.expireBefore(2)
