--- a/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
@@ -25,6 +25,7 @@
 import org.godwitwick.node.settings.NodeSettings
 import org.godwitwick.node.upstream.RequestIdInterceptor
 import org.godwitwick.node.upstream.UpstreamPath
+import org.godwitwick.node.upstream.oneSendClient
 import org.http4k.core.then
 import org.http4k.routing.routes
 import org.http4k.server.Http4kServer
@@ -173,10 +174,7 @@
         const val MAX_CALLS = 4_096
         const val READINESS_PERIOD_MS = 250L
 
-        // OkHttp would repeat some failed calls by itself, which could run a non-idempotent call twice.
-        fun upstreamClient(settings: NodeSettings): OkHttpClient = OkHttpClient.Builder()
-            .retryOnConnectionFailure(false)
-            .followRedirects(false)
+        fun upstreamClient(settings: NodeSettings): OkHttpClient = oneSendClient()
             .addInterceptor(RequestIdInterceptor)
             .connectTimeout(settings.stallTimeoutMs, TimeUnit.MILLISECONDS)
             .readTimeout(settings.stallTimeoutMs, TimeUnit.MILLISECONDS)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -5,14 +5,14 @@
 import okhttp3.Headers
 import okhttp3.HttpUrl.Companion.toHttpUrlOrNull
 import okhttp3.MediaType.Companion.toMediaType
-import okhttp3.OkHttpClient
-import okhttp3.Protocol
 import okhttp3.Request
 import okhttp3.Response
 import org.godwitwick.core.forward.AttemptEnd
 import org.godwitwick.node.upstream.OneShotBody
 import org.godwitwick.node.upstream.WriteGate
 import org.godwitwick.node.upstream.WriteGateInterceptor
+import org.godwitwick.node.upstream.oneSendClient
+import org.godwitwick.node.upstream.plainHttp
 import java.io.IOException
 import java.util.concurrent.TimeUnit
 
@@ -37,10 +37,7 @@
  * @param connectTimeoutMs time in which a connection has to be established.
  */
 class ForwardClient(private val dialect: ForwardDialect, connectTimeoutMs: Long) {
-    private val pooled = OkHttpClient.Builder()
-        .retryOnConnectionFailure(false)
-        .followRedirects(false)
-        .protocols(listOf(Protocol.HTTP_1_1))
+    private val pooled = oneSendClient().plainHttp()
         .connectTimeout(connectTimeoutMs, TimeUnit.MILLISECONDS)
         // The run guard ends calls that are silent or take too long.
         .readTimeout(0, TimeUnit.MILLISECONDS)
@@ -126,7 +123,7 @@
     }
 
     private fun endOf(e: IOException, gate: WriteGate, guard: RunGuard): AttemptEnd {
-        val cause = guard.reason?.let { "cancelled: ${it.name.lowercase()}" } ?: "${e.javaClass.simpleName}: ${e.message}"
+        val cause = guard.causeOf(e)
         return if (gate.mayBeWritten) AttemptEnd.Broken(cause) else AttemptEnd.NotSent(cause)
     }
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -148,7 +148,7 @@
             Opened.Whole(open.head, bytes, null, upstream)
         }
     } catch (e: IOException) {
-        lastEnd = AttemptEnd.Broken(causeOf(e))
+        lastEnd = AttemptEnd.Broken(guard.causeOf(e))
         open.abort()
         open.close()
         null
@@ -222,7 +222,7 @@
 
     private fun resume(broken: UpstreamStream, cause: IOException, lastEventId: Long?): UpstreamStream? {
         val route = admit().getOrElse { return null }.route
-        val step = next(route, broken.upstream, AttemptEnd.Broken(causeOf(cause)), null)
+        val step = next(route, broken.upstream, AttemptEnd.Broken(guard.causeOf(cause)), null)
         if (step != null) return null
         return when (val opened = open(lastEventId)) {
             is Opened.Stream -> opened.stream
@@ -274,9 +274,6 @@
         onEnd()
     }
 
-    private fun causeOf(e: IOException): String =
-        guard.reason?.let { "cancelled: ${it.name.lowercase()}" } ?: "${e.javaClass.simpleName}: ${e.message}"
-
     private fun elapsedMs(): Long = Clocks.steadyMs() - arrivedMs
 
     private fun remainingMs(): Long = guard.deadlineMs - Clocks.steadyMs()
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunGuard.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunGuard.kt
@@ -1,6 +1,7 @@
 package org.godwitwick.node.forward
 
 import okhttp3.Call
+import java.io.IOException
 
 /** Why a send was cancelled. */
 enum class CancelReason { CALLER_GONE, TIMEOUT, SILENCE }
@@ -20,6 +21,10 @@
     var reason: CancelReason? = null
         private set
 
+    /** Why a send failed with [e], for logs: the cancellation that caused it, or else the fault itself. */
+    fun causeOf(e: IOException): String =
+        reason?.let { "cancelled: ${it.name.lowercase()}" } ?: "${e.javaClass.simpleName}: ${e.message}"
+
     /** Guards [call] from now on; it may be silent for [silenceLimitMs], or for ever when that is null. */
     @Synchronized
     fun attach(call: Call, silenceLimitMs: Long?, nowMs: Long) {
