Divide the retry reserve by the fleet's size; find the other instances sooner

Cause: an instance took a sixteenth of the reserve whatever the number of instances, so a fleet of 71 could exceed it more than four times over. After a start it took itself for the whole fleet for up to 2.7 s, and all instances placed short prompts on the same few engines meanwhile.

The size counts as known once two lists of the registry agree, the largest size known divides the reserve, and the registry is asked three times a second until then.

--- a/core/src/main/kotlin/org/godwitwick/core/health/RetryBudget.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/health/RetryBudget.kt
@@ -18,9 +18,9 @@
     /** Counts one request. */
     fun onRequest(nowMs: Long) = add(requests, nowMs)
 
-    /** Takes one retry; false when the budget is used up. */
-    fun tryTake(nowMs: Long): Boolean {
-        val allowed = fraction * sum(requests, nowMs) + reserve
+    /** Takes one retry; false when the budget is used up. [reserveNow] replaces the reserve where it changes over time. */
+    fun tryTake(nowMs: Long, reserveNow: Int = reserve): Boolean {
+        val allowed = fraction * sum(requests, nowMs) + reserveNow
         if (sum(retries, nowMs) + 1 > allowed) return false
         add(retries, nowMs)
         return true
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -6,6 +6,7 @@
 import org.godwitwick.core.forward.PlacementRule
 import org.godwitwick.core.forward.RoutingConfig
 import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.core.forward.reserveShareOf
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.control.ControlThread
 import org.godwitwick.node.http.Drain
@@ -54,7 +55,7 @@
         peerLoads = peerLoads,
         budgets = RetryBudgets(
             settings.retryFraction * RETRY_SAFETY,
-            settings.retryReserve / RESERVE_SHARES,
+            { reserveShareOf(settings.retryReserve, peers.largestFleet) },
             settings.retryWindowMs + settings.retryWindowMs / RETRY_SLOTS,
         ),
         metrics = ForwardMetrics(metrics.registry),
@@ -176,9 +177,6 @@
 
         /** Part of the fleet's retry fraction that is used, since windows of different instances don't begin together. */
         const val RETRY_SAFETY = 0.8
-
-        /** Instances that the fleet's retry reserve is divided among; more would have to use up theirs at once to exceed it. */
-        const val RESERVE_SHARES = 16
         const val RETRY_SLOTS = 5
 
         /**
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardParts.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardParts.kt
@@ -19,8 +19,9 @@
     val budgets: RetryBudgets,
     val metrics: ForwardMetrics,
     val random: Random,
-    private val instanceCount: () -> Int,
+    private val instanceCount: () -> Int?,
 ) {
-    /** Share of the fleet's instances whose work is known at [nowMs], this one included. */
-    fun knownShare(nowMs: Long): Double = ((1.0 + peerLoads.heardAt(nowMs)) / instanceCount()).coerceAtMost(1.0)
+    /** Share of the fleet's instances whose work is known at [nowMs], this one included; zero before the others are known. */
+    fun knownShare(nowMs: Long): Double =
+        instanceCount()?.let { ((1.0 + peerLoads.heardAt(nowMs)) / it).coerceAtMost(1.0) } ?: 0.0
 }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
@@ -1,6 +1,7 @@
 package org.godwitwick.node.forward
 
 import com.github.michaelbull.result.fold
+import org.godwitwick.core.forward.FleetSize
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.peer.ForwardLoad
 import org.godwitwick.node.peer.Peer
@@ -9,6 +10,7 @@
 import org.godwitwick.node.peer.PeerTransport
 import org.slf4j.LoggerFactory
 import java.util.concurrent.Executors
+import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.TimeUnit
 
 /**
@@ -32,15 +34,34 @@
     private var hadWork = false
     private var idleRounds = 0
 
-    /** Instances of the fleet, this one included. */
-    val instanceCount: Int get() = others.size + 1
+    private val fleetSize = FleetSize()
+
+    /** Instances of the fleet, this one included; null until they are known. */
+    @Volatile
+    var instanceCount: Int? = null
+        private set
+
+    /** The most instances that the fleet is known to have had; null until they are known. */
+    @Volatile
+    var largestFleet: Int? = null
+        private set
 
     /** Registers this instance and begins the exchange. */
     fun start() {
-        registration.scheduleWithFixedDelay(::announce, FIRST_ANNOUNCE_MS, ANNOUNCE_PERIOD_MS, TimeUnit.MILLISECONDS)
+        registration.schedule(::announceRegularly, FIRST_ANNOUNCE_MS, TimeUnit.MILLISECONDS)
         exchange.scheduleAtFixedRate(::tell, EXCHANGE_PERIOD_MS, EXCHANGE_PERIOD_MS, TimeUnit.MILLISECONDS)
     }
 
+    private fun announceRegularly() {
+        announce()
+        val periodMs = if (instanceCount == null) SEARCH_PERIOD_MS else ANNOUNCE_PERIOD_MS
+        try {
+            registration.schedule(::announceRegularly, periodMs, TimeUnit.MILLISECONDS)
+        } catch (_: RejectedExecutionException) {
+            log.debug("peer: the registration has stopped")
+        }
+    }
+
     private fun announce() = guarded {
         if (transport == null) registry.sharedSecret().fold(::open) { log.warn("peer: no shared secret: {}", it.message) }
         registry.announce(self).fold(::update) { log.debug("peer: the registry was not reached: {}", it.message) }
@@ -65,6 +86,9 @@
         val now = all.filter { it.id != self.id }.associateBy { it.id }
         if (now != others) log.info("peer: {} other instances are registered", now.size)
         others = now
+        fleetSize.onRegistered(now.size + 1)
+        instanceCount = fleetSize.settled
+        largestFleet = fleetSize.largest
     }
 
     private fun tell() = guarded {
@@ -98,6 +122,9 @@
         /** A third of the registration's time to live. */
         const val ANNOUNCE_PERIOD_MS = 1_000L
 
+        /** Period until the others are known, since placement is coarse before; the store counts a registration as a tenth of a call. */
+        const val SEARCH_PERIOD_MS = 300L
+
         /** Less than the target of a short request; each exchange costs processor time for every pair of instances. */
         const val EXCHANGE_PERIOD_MS = 200L
 
