Choose the engines of a long read by expected harm

Ruled out: the instances' processor (0.10 of 0.75 cores) and the exchange of loads.

Now the rule adds up, for each number of engines, the streams that would pause for too long and the value of the prompt if it became late, and takes the least sum.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/PlacementRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/PlacementRule.kt
@@ -8,30 +8,43 @@
  *
  * Answers a mix in which bursts of long prompts meet many short ones. An engine that reads writes nothing meanwhile, so a long read
  * stalls all short streams beside it. Short requests therefore share few engines, in an order that all instances agree on, as long as
- * these keep their pace; long prompts are read by several of the other engines at once, so that no pause is long.
+ * these keep their pace; long prompts are read by several of the other engines at once, as [ReadSplitRule] says.
  */
-class PlacementRule(private val random: Random, private val settings: PlacementSettings = PlacementSettings()) {
+class PlacementRule(
+    private val random: Random,
+    private val settings: PlacementSettings = PlacementSettings(),
+    private val split: ReadSplitRule = ReadSplitRule(),
+) {
     /** Places a request without tokens; null when no upstream is known. */
     fun place(candidates: List<UpstreamView>): Placement? =
         candidates.minByOrNull(::costMs)?.let { Placement(it.entry, emptyList()) }
 
     /**
-     * Places a request of [size] on engines of [profile]; null when they can't hold it, or none is known.
+     * Places [demand] on engines of [profile]; null when they can't hold it, or none is known.
      *
-     * @param knownShare share of the fleet's instances whose work is among that of the candidates.
+     * @param knownShare share of the fleet's instances whose work is among that of the candidates; zero when the instance doesn't know
+     *   the others yet.
      */
-    fun place(size: RequestSize, profile: EngineProfile, candidates: List<UpstreamView>, knownShare: Double = 1.0): Placement? {
+    fun place(
+        demand: PlacementDemand,
+        profile: EngineProfile,
+        candidates: List<UpstreamView>,
+        knownShare: Double = 1.0,
+    ): Placement? {
         if (candidates.isEmpty()) return null
+        val size = demand.size
         val shared = sharedEngines(candidates, knownShare)
         return when {
             size.isShort -> placeShort(profile, candidates, shared)
-            size.memoryTokens > profile.memoryTokens * settings.maxMemoryShare -> spread(size, profile, candidates, shared)
-            else -> placeLong(size, profile, candidates, shared)
+            size.memoryTokens > profile.memoryTokens * settings.maxMemoryShare -> spread(demand, profile, candidates, shared)
+            else -> placeLong(demand, profile, candidates, shared)
         }
     }
 
     // The first engines in an order that is the same on all instances, so that they agree also while they don't hear each other.
+    // Instances that have all just started would choose the same few and overload them, so they share all until they hear each other.
     private fun sharedEngines(candidates: List<UpstreamView>, knownShare: Double): Set<UpstreamView> {
+        if (knownShare <= 0.0) return candidates.toSet()
         val streams = candidates.sumOf { it.work.shortStreams } / knownShare
         val count = (streams / settings.streamsPerEngine).toInt() + settings.leastSharing
         return candidates.sortedBy { it.entry.id.value.hashCode() }.take(count).toSet()
@@ -46,43 +59,38 @@
     }
 
     private fun placeLong(
-        size: RequestSize,
+        demand: PlacementDemand,
         profile: EngineProfile,
         candidates: List<UpstreamView>,
         shared: Set<UpstreamView>,
     ): Placement {
-        val isSpared = { view: UpstreamView -> view in shared || view.work.shortStreams > 0 }
-        val totalMs = profile.readMs(size.promptTokens)
+        val size = demand.size
         val usable = candidates.filter { it.work.helping < profile.slots - HELP_RESERVE }.ifEmpty { candidates }
-        val ranked = usable.sortedWith(compareBy({ isSpared(it) }, ::costMs))
-        val wanted = ceil(totalMs / settings.partReadMs).toInt().coerceIn(1, settings.maxHelpers + 1)
-        val least = ceil(totalMs / settings.maxPartReadMs).toInt().coerceIn(1, wanted)
-        // Fewer engines read longer, but those with short streams are spared. With too few left, small parts hurt the streams least.
-        val calm = ranked.count { !isSpared(it) }
-        val members = ranked.take(if (calm in least until wanted) calm else wanted)
+        val members = split.readers(demand, profile.readMs(size.promptTokens), usable, shared)
         val room = members.filter { it.work.heldTokens + size.memoryTokens <= profile.memoryTokens }.ifEmpty { members }
-        val first = room.minBy { it.work.running + if (isSpared(it)) profile.slots else 0 }
+        val first = room.minBy { it.work.running + if (it in shared || it.work.shortStreams > 0) profile.slots else 0 }
         return Placement(first.entry, members.filter { it !== first }.map { Helper(it.entry, 0) })
     }
 
     // Reservations hold most of the prompt; the first engine holds the rest and the answer.
     private fun spread(
-        size: RequestSize,
+        demand: PlacementDemand,
         profile: EngineProfile,
         candidates: List<UpstreamView>,
         shared: Set<UpstreamView>,
     ): Placement? {
-        val isSpared = { view: UpstreamView -> view in shared || view.work.shortStreams > 0 }
-        val ranked = candidates.sortedWith(compareBy({ isSpared(it) }, { it.work.heldTokens }))
-        val first = ranked.first()
+        val size = demand.size
         val firstTokens = (profile.memoryTokens * settings.firstMemoryShare).toLong()
-        val reserved = size.memoryTokens - firstTokens
         val part = (profile.memoryTokens * settings.reservedShare).toLong()
-        val helpers = ranked.drop(1).filter { it.work.helping < profile.slots - HELP_RESERVE }.take(settings.maxHelpers)
-        val holders = helpers.sortedBy { it.work.heldTokens }.take(ceil(reserved.toDouble() / part).toInt())
-        val isRoom = holders.size.toLong() * part >= reserved && size.maxAnswerTokens <= firstTokens
-        if (!isRoom) return null
-        return Placement(first.entry, helpers.map { Helper(it.entry, if (it in holders) part else 0) })
+        val holderCount = ceil((size.memoryTokens - firstTokens).toDouble() / part).toInt()
+        if (size.maxAnswerTokens > firstTokens) return null
+        val room = candidates.filter { it.work.heldTokens + firstTokens <= profile.memoryTokens }
+        val usable = room.ifEmpty { candidates }.filter { it.work.helping < profile.slots - HELP_RESERVE }
+        if (usable.size <= holderCount || holderCount >= settings.maxEngines) return null
+        val members = split.readers(demand, profile.readMs(size.promptTokens), usable, shared, least = holderCount + 1)
+        val ranked = members.sortedBy { it.work.heldTokens }
+        val holders = ranked.drop(1).take(holderCount)
+        return Placement(ranked.first().entry, ranked.drop(1).map { Helper(it.entry, if (it in holders) part else 0) })
     }
 
     private fun shortCostMs(view: UpstreamView, profile: EngineProfile): Double {
@@ -99,12 +107,17 @@
     }
 }
 
+/**
+ * A prompt to be placed.
+ *
+ * @property targetMs time to the first event that the operator aims at.
+ */
+data class PlacementDemand(val size: RequestSize, val targetMs: Long)
+
 /**
  * Settings of [PlacementRule].
  *
- * @property maxHelpers most helpers of one prompt; the platform allows 16.
- * @property partReadMs reading time of one part that is aimed at: two parts in one pass are still within a short stream's pause.
- * @property maxPartReadMs reading time of one part that long streams beside it can bear.
+ * @property maxEngines most engines that hold one prompt: the first and the 16 helpers that the platform allows.
  * @property escapeMs advantage for which a short request leaves the shared engines: half of its target.
  * @property streamsPerEngine short streams for which one more engine is shared.
  * @property leastSharing engines that short requests share at the least.
@@ -116,9 +129,7 @@
  * @property queueMs cost of each request that waits for a slot: the time in which one becomes free.
  */
 data class PlacementSettings(
-    val maxHelpers: Int = 16,
-    val partReadMs: Double = 100.0,
-    val maxPartReadMs: Double = 800.0,
+    val maxEngines: Int = 17,
     val escapeMs: Double = 150.0,
     val streamsPerEngine: Int = 5,
     val leastSharing: Int = 4,
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
@@ -4,6 +4,7 @@
 import org.godwitwick.core.forward.ForwardRoute
 import org.godwitwick.core.forward.ForwardService
 import org.godwitwick.core.forward.Placement
+import org.godwitwick.core.forward.PlacementDemand
 import org.godwitwick.core.forward.RouteKind
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.forward.UpstreamView
@@ -29,14 +30,14 @@
         val known = parts.knowledge.upstreams[serviceName].orEmpty().filter { it.address !in avoided }
         val untried = known.filter { it !in tried }.ifEmpty { known }
         val views = untried.shuffled(parts.random).map { viewOf(it, nowMs) }
-        val placement = placementOf(service?.engine, views, nowMs) ?: return null
+        val placement = placementOf(service?.engine, views, route, nowMs) ?: return null
         return PlacedWork(placement, readMsOf(service?.engine, placement), heldTokensOf(placement), isShortStream(route))
     }
 
-    private fun placementOf(engine: EngineProfile?, views: List<UpstreamView>, nowMs: Long): Placement? {
+    private fun placementOf(engine: EngineProfile?, views: List<UpstreamView>, route: ForwardRoute, nowMs: Long): Placement? {
         val size = request.size
         if (engine == null || size == null) return parts.placement.place(views)
-        return parts.placement.place(size, engine, views, parts.knownShare(nowMs))
+        return parts.placement.place(PlacementDemand(size, route.targetMs), engine, views, parts.knownShare(nowMs))
     }
 
     private fun viewOf(entry: UpstreamEntry, nowMs: Long): UpstreamView {
