Tell loads through two collectors in fleets of more than twelve instances

In a larger fleet each instance now tells two collectors, chosen by rendezvous hashing over the registered instances, and one of them tells each other instance the sum of all others. The second one takes over after a second of silence. Small fleets exchange directly as before.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamWork.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamWork.kt
@@ -24,4 +24,13 @@
         helping + other.helping,
         heldTokens + other.heldTokens,
     )
+
+    /** This work without [part] of it; a part that has ended meanwhile leaves nothing below zero. */
+    operator fun minus(part: UpstreamWork) = UpstreamWork(
+        (pendingReadMs - part.pendingReadMs).coerceAtLeast(0.0),
+        (running - part.running).coerceAtLeast(0),
+        (shortStreams - part.shortStreams).coerceAtLeast(0),
+        (helping - part.helping).coerceAtLeast(0),
+        (heldTokens - part.heldTokens).coerceAtLeast(0),
+    )
 }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
@@ -13,14 +13,11 @@
 import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.TimeUnit
 
-/**
- * Tells the other instances what this one has sent to each upstream, several times a second. Nothing depends on a single message:
- * without any, an instance places by its own work.
- */
+/** Finds the other instances in the registry and exchanges loads with them. */
 class ForwardPeers(
     private val self: RegisteredInstance,
     private val registry: InstanceRegistry,
-    private val loads: UpstreamLoads,
+    loads: UpstreamLoads,
     private val peerLoads: PeerLoads,
 ) : AutoCloseable {
     private val registration = Executors.newSingleThreadScheduledExecutor { Thread(it, "registration").apply { isDaemon = true } }
@@ -31,8 +28,7 @@
 
     @Volatile
     private var transport: PeerTransport? = null
-    private var hadWork = false
-    private var idleRounds = 0
+    private val loadExchange = LoadExchange(self.id, loads, peerLoads) { to, message -> transport?.send(to, message) }
 
     private val fleetSize = FleetSize()
 
@@ -92,14 +88,7 @@
     }
 
     private fun tell() = guarded {
-        val work = loads.all(Clocks.steadyMs())
-        // An instance without work says so once and then only often enough not to count as silent.
-        val isNews = work.isNotEmpty() || hadWork || ++idleRounds >= IDLE_ROUNDS
-        hadWork = work.isNotEmpty()
-        if (!isNews) return@guarded
-        idleRounds = 0
-        val message = ForwardLoad.of(work, System.currentTimeMillis())
-        others.keys.forEach { transport?.send(it, message) }
+        loadExchange.round(others.keys, Clocks.steadyMs(), System.currentTimeMillis())
     }
 
     // A scheduled task that throws is never run again.
@@ -125,11 +114,8 @@
         /** Period until the others are known, since placement is coarse before; the store counts a registration as a tenth of a call. */
         const val SEARCH_PERIOD_MS = 300L
 
-        /** Less than the target of a short request; each exchange costs processor time for every pair of instances. */
+        /** Less than the target of a short request; each exchange costs processor time. */
         const val EXCHANGE_PERIOD_MS = 200L
-
-        /** Rounds without work after which an instance tells so again, half of the time after which it counts as silent. */
-        const val IDLE_ROUNDS = 3
         val log = LoggerFactory.getLogger(ForwardPeers::class.java)
     }
 }
--- a/node/src/main/kotlin/org/godwitwick/node/peer/ForwardLoad.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/ForwardLoad.kt
@@ -8,9 +8,12 @@
 import org.godwitwick.core.model.InstanceId
 
 /**
- * The sender's work at each upstream. The lists run in parallel; an upstream is named by the hash of its id.
+ * The sender's work at each upstream, or the sum of several instances'. The lists run in parallel; an upstream is named by the hash of
+ * its id.
  *
  * @property sentAtMs time of writing on the sender's clock, which orders the messages of one sender.
+ * @property instances instances whose work is told.
+ * @property isSum whether a collector tells the work of others too.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -23,6 +26,8 @@
     @CborLabel(5) val shortStreams: List<Int>,
     @CborLabel(6) val helping: List<Int>,
     @CborLabel(7) val heldKiloTokens: List<Int>,
+    @CborLabel(8) val instances: Int = 1,
+    @CborLabel(9) val isSum: Boolean = false,
 ) : PeerMessage {
     /** Whether the sender wrote this message after [other]. A restart of the sender may set its clock back by seconds only. */
     fun isNewerThan(other: ForwardLoad): Boolean = sentAtMs > other.sentAtMs && sentAtMs - other.sentAtMs < MAX_DISORDER_MS
@@ -46,17 +51,19 @@
         /** The name of an upstream in these messages. */
         fun keyOf(id: InstanceId): Int = id.value.hashCode()
 
-        /** The message that tells [work] at [nowMs]. */
-        fun of(work: Map<InstanceId, UpstreamWork>, nowMs: Long): ForwardLoad {
-            val rows = work.entries.toList()
+        /** The message that tells [work], by [keyOf] of the upstream, at [nowMs]. */
+        fun of(work: Map<Int, UpstreamWork>, nowMs: Long, instances: Int = 1, isSum: Boolean = false): ForwardLoad {
+            val rows = work.entries.filter { it.value != UpstreamWork() }
             return ForwardLoad(
                 nowMs,
-                rows.map { keyOf(it.key) },
+                rows.map { it.key },
                 rows.map { it.value.pendingReadMs.toInt() },
                 rows.map { it.value.running },
                 rows.map { it.value.shortStreams },
                 rows.map { it.value.helping },
                 rows.map { (it.value.heldTokens / KILO).toInt() },
+                instances,
+                isSum,
             )
         }
     }
