Run the watches of requests only while there are any; keep a stream's patience

Cause: three timers woke every instance about 35 times a second also without a request, and each event of a stream looked up its route again.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -43,6 +43,7 @@
     private var lastEnd: AttemptEnd? = null
     private var firstByteMs: Long? = null
     private var service: String? = null
+    private var eventPatienceMs: Long? = null
     private var lastEventMs = 0L
     private var longestPauseMs = 0L
 
@@ -138,7 +139,8 @@
             val reader = EventReader(source)
             val first = reader.next()
             progress.readingEnded()
-            guard.expect(parts.patience.betweenEvents(route), Clocks.steadyMs())
+            eventPatienceMs = parts.patience.betweenEvents(route)
+            guard.expect(eventPatienceMs, Clocks.steadyMs())
             Opened.Stream(UpstreamStream(open.head, upstream, first, open, reader, finish))
         } else if (source.request(MAX_BUFFERED_BYTES + 1)) {
             Opened.Whole(open.head, ByteArray(0), LargeBody(open, finish), upstream)
@@ -216,8 +218,7 @@
         val nowMs = elapsedMs()
         if (lastEventMs > 0) longestPauseMs = maxOf(longestPauseMs, nowMs - lastEventMs)
         lastEventMs = nowMs
-        val route = admit().getOrElse { null }?.route
-        guard.expect(route?.let(parts.patience::betweenEvents), Clocks.steadyMs())
+        guard.expect(eventPatienceMs, Clocks.steadyMs())
     }
 
     private fun resume(broken: UpstreamStream, cause: IOException, lastEventId: Long?): UpstreamStream? {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunWatch.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunWatch.kt
@@ -1,17 +1,12 @@
 package org.godwitwick.node.forward
 
+import org.godwitwick.node.control.OnDemandTimer
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.Executors
-import java.util.concurrent.TimeUnit
 
 /** Checks the guards of all requests in flight from one thread. */
 class RunWatch(private val nowMs: () -> Long) : AutoCloseable {
     private val guards = ConcurrentHashMap.newKeySet<RunGuard>()
-    private val timer = Executors.newSingleThreadScheduledExecutor { Thread(it, "run-watch").apply { isDaemon = true } }
-
-    init {
-        timer.scheduleWithFixedDelay(::check, PERIOD_MS, PERIOD_MS, TimeUnit.MILLISECONDS)
-    }
+    private val timer = OnDemandTimer("run-watch", PERIOD_MS, guards::isNotEmpty, ::check)
 
     /** Requests in flight. */
     val count: Int get() = guards.size
@@ -19,6 +14,7 @@
     /** Checks [guard] until it is removed. */
     fun add(guard: RunGuard) {
         guards.add(guard)
+        timer.wake()
     }
 
     /** Ends the checks of [guard]. */
@@ -32,7 +28,7 @@
     }
 
     override fun close() {
-        timer.shutdownNow()
+        timer.close()
     }
 
     private companion object {
--- a/node/src/main/kotlin/org/godwitwick/node/http/BlockingWatchdog.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/BlockingWatchdog.kt
@@ -1,7 +1,7 @@
 package org.godwitwick.node.http
 
+import org.godwitwick.node.control.OnDemandTimer
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 
 /**
@@ -29,17 +29,18 @@
     }
 
     private val operations = ConcurrentHashMap.newKeySet<Operation>()
-    private val timer = Executors.newSingleThreadScheduledExecutor { Thread(it, "blocking-watchdog").apply { isDaemon = true } }
-
-    init {
-        val periodMs = (timeoutMs / CHECKS_PER_TIMEOUT).coerceAtLeast(1)
-        timer.scheduleWithFixedDelay(::check, periodMs, periodMs, TimeUnit.MILLISECONDS)
-    }
+    private val timer = OnDemandTimer(
+        "blocking-watchdog",
+        (timeoutMs / CHECKS_PER_TIMEOUT).coerceAtLeast(1),
+        operations::isNotEmpty,
+        ::check,
+    )
 
     /** Runs [operation] on the calling thread and interrupts it when it takes too long. */
     fun <T> guarded(operation: () -> T): T {
         val entry = Operation(Thread.currentThread(), System.nanoTime())
         operations.add(entry)
+        timer.wake()
         try {
             return operation()
         } finally {
@@ -54,7 +55,7 @@
     }
 
     override fun close() {
-        timer.shutdownNow()
+        timer.close()
     }
 
     private companion object {
--- a/node/src/main/kotlin/org/godwitwick/node/http/CallerMonitor.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/CallerMonitor.kt
@@ -2,25 +2,20 @@
 
 import io.undertow.server.HttpServerExchange
 import io.undertow.server.protocol.http.HttpServerConnection
+import org.godwitwick.node.control.OnDemandTimer
 import java.io.IOException
 import java.nio.ByteBuffer
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.Executors
-import java.util.concurrent.TimeUnit
 
 /**
  * Finds callers that close their connection while their request is being answered.
  *
  * Undertow reads nothing from a connection between a request and the end of its answer, so a close would show only at the next
- * write, which may be seconds later. The monitor reads from idle sockets every [periodMs] on their I/O thread.
+ * write, which may be seconds later. The monitor reads from idle sockets once a period on their I/O thread.
  */
-class CallerMonitor(private val periodMs: Long = DEFAULT_PERIOD_MS) : AutoCloseable {
+class CallerMonitor(periodMs: Long = DEFAULT_PERIOD_MS) : AutoCloseable {
     private val watches = ConcurrentHashMap.newKeySet<ConnectionWatch>()
-    private val timer = Executors.newSingleThreadScheduledExecutor { Thread(it, "caller-monitor").apply { isDaemon = true } }
-
-    init {
-        timer.scheduleWithFixedDelay(::checkAll, periodMs, periodMs, TimeUnit.MILLISECONDS)
-    }
+    private val timer = OnDemandTimer("caller-monitor", periodMs, watches::isNotEmpty, ::checkAll)
 
     /** Starts watching the connection of [exchange]; the caller of this function closes the watch. */
     fun watch(exchange: HttpServerExchange): CallerWatch {
@@ -31,7 +26,7 @@
     private fun checkAll() = watches.forEach { watch -> watch.connection.ioThread.execute(watch::check) }
 
     override fun close() {
-        timer.shutdownNow()
+        timer.close()
     }
 
     private inner class ConnectionWatch(val connection: HttpServerConnection, private val exchange: HttpServerExchange) :
@@ -44,6 +39,7 @@
             if (isEnded) return
             this.action = action
             watches.add(this)
+            timer.wake()
         }
 
         @Synchronized
