--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
@@ -105,8 +105,8 @@
     }
 
     private companion object {
-        /** Peers can wait until an instance that starts has begun to serve. */
-        const val FIRST_ANNOUNCE_MS = 1_000L
+        /** Peers can wait until an instance that starts has begun to serve, but not for long: its placement is coarse without them. */
+        const val FIRST_ANNOUNCE_MS = 300L
 
         /** A third of the registration's time to live. */
         const val ANNOUNCE_PERIOD_MS = 1_000L
