--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -15,7 +15,6 @@
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.forward.afterSends
 import org.godwitwick.core.forward.failureOf
-import org.godwitwick.core.forward.holdMsOf
 import org.godwitwick.core.forward.nextStep
 import org.godwitwick.core.forward.urgencyOf
 import org.http4k.core.Body
@@ -58,28 +57,10 @@
     }
 
     /** The answer for the caller. */
-    fun answer(): Response {
-        hold()
-        return when (val opened = open(request.lastEventId)) {
-            is Opened.Stream -> streamed(opened.stream)
-            is Opened.Whole -> whole(opened)
-            is Opened.Failed -> failed(opened.failure)
-        }
-    }
-
-    private fun hold() {
-        var heldMs = 0L
-        while (guard.reason == null) {
-            val holdMs = holdMsOf(request.size, elapsedMs(), parts.knownShare(Clocks.steadyMs()) >= KNOWN_FLEET_SHARE)
-            if (holdMs == 0L) break
-            guard.pause(holdMs)
-            heldMs += holdMs
-        }
-        if (heldMs >
-            0
-        ) {
-            log.info("forward: {} of {} tokens waited {} ms for the loads", request.id, request.size?.promptTokens, heldMs)
-        }
+    fun answer(): Response = when (val opened = open(request.lastEventId)) {
+        is Opened.Stream -> streamed(opened.stream)
+        is Opened.Whole -> whole(opened)
+        is Opened.Failed -> failed(opened.failure)
     }
 
     private fun open(lastEventId: Long?): Opened {
@@ -318,9 +299,6 @@
         const val SERVER_ERROR = 500
         const val MAX_BUFFERED_BYTES = 1L shl 20
 
-        /** Share of the instances that is enough to place long prompts; the rest is extrapolated. */
-        const val KNOWN_FLEET_SHARE = 0.5
-
         /** A send with less time left would not be answered. */
         const val MIN_SEND_MS = 20L
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunGuard.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunGuard.kt
@@ -16,9 +16,6 @@
     private var silentFromMs: Long? = null
     private var silenceLimitMs = 0L
 
-    @Suppress("PLATFORM_CLASS_MAPPED_TO_KOTLIN")
-    private val monitor = this as Object
-
     /** Why the present send, or the whole request, was cancelled; null while it may go on. */
     @Volatile
     var reason: CancelReason? = null
@@ -28,12 +25,6 @@
     fun causeOf(e: IOException): String =
         reason?.let { "cancelled: ${it.name.lowercase()}" } ?: "${e.javaClass.simpleName}: ${e.message}"
 
-    /** Waits for [ms], or until the request is cancelled. */
-    @Synchronized
-    fun pause(ms: Long) {
-        if (reason == null) monitor.wait(ms)
-    }
-
     /** Guards [call] from now on; it may be silent for [silenceLimitMs], or for ever when that is null. */
     @Synchronized
     fun attach(call: Call, silenceLimitMs: Long?, nowMs: Long) {
@@ -71,7 +62,6 @@
     private fun cancel(why: CancelReason) {
         if (reason == null) reason = why
         silentFromMs = null
-        monitor.notifyAll()
         call?.cancel()
     }
 }
