Know more streams and reads of a large fleet in time

Long prompts waited 3.3 s (median, 12 s to 22 s) at 38% of the engines' time, because all instances chose the same idle engines.

Registrations are read every half of the time in which a leaving upstream must be known, as the deployment states it, instead of every second.

--- a/core/src/test/kotlin/org/godwitwick/core/forward/PlacementRuleTest.kt
+++ b/core/src/test/kotlin/org/godwitwick/core/forward/PlacementRuleTest.kt
@@ -118,6 +118,24 @@
         expectThat(used.size).isGreaterThanOrEqualTo(20)
     }
 
+    // The load pattern: many instances place long prompts at once, before any has heard of the others' placements.
+    @Test
+    fun `in a large fleet instances that know the same choose different engines for long prompts`() {
+        val placed = (1..5).map {
+            membersOf(PlacementRule(Random(it)).place(digest, engineProfile, fleet(78) { UpstreamWork() }))
+        }
+        expectThat(placed.flatten().toSet().size).isGreaterThanOrEqualTo(40)
+    }
+
+    // Guards against queues for slots while short streams grow faster than their numbers become known.
+    @Test
+    fun `engines with fewer slots share fewer short streams each`() {
+        val small = engineProfile.copy(slots = 8)
+        val views = fleet(78) { UpstreamWork(running = 2, shortStreams = 2) }
+        fun used(profile: EngineProfile) = (1..2_000).mapNotNull { rule.place(short, profile, views)?.upstream }.toSet().size
+        expectThat(used(small)).isGreaterThanOrEqualTo(used(engineProfile.copy(slots = 16)) + 10)
+    }
+
     // The load pattern: long reads at three times their usual rate and few short streams. Guards against idle engines that are kept for
     // short requests while long prompts wait for each other.
     @Test
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -61,6 +61,7 @@
         metrics = ForwardMetrics(metrics.registry),
         random = Random.Default,
         instanceCount = peers::instanceCount,
+        onLongPlaced = peers::tellSoon,
     )
     private val configFollower = FeedFollower(
         "config",
@@ -72,7 +73,7 @@
     private val upstreamFollower = FeedFollower(
         "upstreams",
         upstreamFeed,
-        FeedPacing(UPSTREAM_WAIT_MS, UPSTREAM_PERIOD_MS, settings.heartbeatMs),
+        FeedPacing(UPSTREAM_WAIT_MS, settings.leavingMs / 2, settings.heartbeatMs),
         knowledge.upstreamListener,
         Clocks::read,
     )
@@ -171,8 +172,6 @@
         /** Changes of the configuration that come within this time share a read. */
         const val CONFIG_PERIOD_MS = 50L
 
-        /** Half of the time in which a leaving upstream has to be known. */
-        const val UPSTREAM_PERIOD_MS = 1_000L
         const val UPSTREAM_WAIT_MS = 5_000L
 
         /** Part of the fleet's retry fraction that is used, since windows of different instances don't begin together. */
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardParts.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardParts.kt
@@ -5,7 +5,11 @@
 import org.godwitwick.core.forward.PlacementRule
 import kotlin.random.Random
 
-/** What the runs of all requests share. */
+/**
+ * What the runs of all requests share.
+ *
+ * @property onLongPlaced told when a long prompt was placed, which other instances have to know before they place theirs.
+ */
 class ForwardParts(
     val dialect: ForwardDialect,
     val knowledge: FleetKnowledge,
@@ -20,6 +24,7 @@
     val metrics: ForwardMetrics,
     val random: Random,
     private val instanceCount: () -> Int?,
+    val onLongPlaced: () -> Unit,
 ) {
     /** Share of the fleet's instances whose work is known at [nowMs], this one included; zero before the others are known. */
     fun knownShare(nowMs: Long): Double =
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
@@ -12,6 +12,7 @@
 import java.util.concurrent.Executors
 import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 
 /** Finds the other instances in the registry and exchanges loads with them. */
 class ForwardPeers(
@@ -30,6 +31,7 @@
     private var transport: PeerTransport? = null
     private val loadExchange = LoadExchange(self.id, loads, peerLoads) { to, message -> transport?.send(to, message) }
 
+    private val isTelling = AtomicBoolean()
     private val fleetSize = FleetSize()
 
     /** Instances of the fleet, this one included; null until they are known. */
@@ -91,6 +93,19 @@
         loadExchange.round(others.keys, Clocks.steadyMs(), System.currentTimeMillis())
     }
 
+    /** Tells the others soon what was placed, without waiting for the next round of the exchange. */
+    fun tellSoon() {
+        if (!isTelling.compareAndSet(false, true)) return
+        try {
+            exchange.execute {
+                isTelling.set(false)
+                guarded { loadExchange.tellNow(Clocks.steadyMs(), System.currentTimeMillis()) }
+            }
+        } catch (_: RejectedExecutionException) {
+            log.debug("peer: the exchange has stopped")
+        }
+    }
+
     // A scheduled task that throws is never run again.
     private fun guarded(task: () -> Unit) = try {
         task()
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -89,6 +89,7 @@
         val work = placer.place(spec, serviceName, admitted.route) ?: return Opened.Failed(unplaced(spec))
         val placement = work.placement
         val progress = parts.loads.begin(work, Clocks.steadyMs())
+        if (request.size?.isShort == false) parts.onLongPlaced()
         val held = parts.reservations.reserve(placement, request.id).getOrElse { refusing ->
             progress.end()
             refusing.forEach { placer.avoid(it.address) }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardSettings.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardSettings.kt
@@ -8,6 +8,7 @@
  * @property readinessPath path that the balancer asks for.
  * @property heartbeatMs time between two records of an upstream in the store.
  * @property revocationMs time after which no instance may honour a withdrawn key.
+ * @property leavingMs time within which a leaving upstream gets no new work.
  * @property retryFraction repeats per request that the whole fleet may send to a service.
  * @property retryReserve repeats besides, for the whole fleet.
  * @property retryWindowMs time over which repeats are counted.
@@ -28,6 +29,7 @@
     val metricsPath: String,
     val heartbeatMs: Long,
     val revocationMs: Long,
+    val leavingMs: Long,
     val retryFraction: Double,
     val retryReserve: Int,
     val retryWindowMs: Long,
--- a/node/src/main/kotlin/org/godwitwick/node/forward/LoadExchange.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/LoadExchange.kt
@@ -19,7 +19,6 @@
     private var plan = LoadExchangePlan.of(setOf(self))
     private var hadWork = false
     private var idleRounds = 0
-    private var round = 0
 
     /** One round of the exchange with [present], the other instances, at [nowMs] of the steady clock and [wallMs] of the time of day. */
     fun round(present: Set<InstanceId>, nowMs: Long, wallMs: Long) {
@@ -30,9 +29,12 @@
         val work = loads.all(nowMs)
         tellOwn(work, wallMs)
         val firstSilentMs = peerLoads.silentMs(plan.collectors.first(), nowMs)
-        if (round++ % ROUNDS_PER_SUM == 0 && plan.tellsSums(self, firstSilentMs)) tellSums(work, nowMs, wallMs)
+        if (plan.tellsSums(self, firstSilentMs)) tellSums(work, nowMs, wallMs)
     }
 
+    /** Tells the collectors at once what has changed at [nowMs] and [wallMs]; for work that other instances should avoid. */
+    fun tellNow(nowMs: Long, wallMs: Long) = tellOwn(loads.all(nowMs), wallMs)
+
     private fun tellOwn(work: Map<InstanceId, UpstreamWork>, wallMs: Long) {
         // An instance without work says so once and then only often enough not to count as silent.
         val isNews = work.isNotEmpty() || hadWork || ++idleRounds >= IDLE_ROUNDS
@@ -52,8 +54,5 @@
     private companion object {
         /** Rounds without work after which an instance tells so again, half of the time after which it counts as silent. */
         const val IDLE_ROUNDS = 3
-
-        /** The sums go to all instances, so they are sent less often than a single instance's work. */
-        const val ROUNDS_PER_SUM = 2
     }
 }
--- a/node/src/test/kotlin/org/godwitwick/node/forward/LoadExchangeTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/LoadExchangeTest.kt
@@ -66,6 +66,17 @@
         expectThat(fleet.runningAt(upstream).values.toList()).all { isEqualTo(UpstreamWork().running) }
     }
 
+    // The load pattern: long prompts at several instances within a moment. Guards against instances that choose the same idle engines.
+    @Test
+    fun `work that is told at once is known to all of a small fleet before the next round`() {
+        val fleet = Fleet(9)
+        fleet.rounds(6)
+        val first = fleet.instances.values.first()
+        first.begin()
+        first.exchange.tellNow(fleet.nowMs + 1, fleet.nowMs + 1)
+        expectThat(fleet.runningAt(upstream).values.toList()).all { isEqualTo(1) }
+    }
+
     // Guards against messages that grow with the square of the fleet.
     @Test
     fun `a large fleet sends at most four messages for each instance and round`() {
