Never give up a stream for silence when nothing may continue it

Since long reads take fewer engines they stall short streams for longer, and logs show many streams that were sent again after 1.2 s to 1.6 s.

Ruled out: the change of the configuration at the same time, which moved none of the routes, and the stop of instances (the instance of the request was not stopped).

A stream on its last upstream is no longer cut off for silence, and others only after the time in which an engine itself ends stalled work.

--- a/node/src/main/kotlin/org/godwitwick/node/control/OnDemandTimer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/control/OnDemandTimer.kt
@@ -11,7 +11,7 @@
  * Whoever makes it needed calls [wake] afterwards.
  */
 class OnDemandTimer(
-    name: String,
+    private val name: String,
     private val periodMs: Long,
     private val isNeeded: () -> Boolean,
     private val task: () -> Unit,
@@ -25,7 +25,7 @@
         try {
             executor.schedule(::run, periodMs, TimeUnit.MILLISECONDS)
         } catch (_: RejectedExecutionException) {
-            log.debug("timer: closed")
+            log.debug("control: the timer {} is closed", name)
         }
     }
 
@@ -33,7 +33,7 @@
         try {
             task()
         } catch (e: RuntimeException) {
-            log.error("timer: task failed", e)
+            log.error("control: the task of the timer {} failed", name, e)
         }
         isScheduled.set(false)
         // It may have become needed again after the task looked, while it still counted as scheduled.
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -125,7 +125,7 @@
 
     private fun send(call: UpstreamCall, route: ForwardRoute): SendResult =
         parts.client.send(call, body, route.kind.isIdempotent, guard) { sent ->
-            guard.attach(sent, parts.patience.beforeFirstEvent(route), Clocks.steadyMs())
+            guard.attach(sent, parts.patience.beforeFirstEvent(route, counts.mayHaveRun), Clocks.steadyMs())
         }
 
     private fun read(
@@ -140,7 +140,7 @@
             val reader = EventReader(source)
             val first = reader.next()
             progress.readingEnded()
-            eventPatienceMs = parts.patience.betweenEvents(route)
+            eventPatienceMs = parts.patience.betweenEvents(route, counts.mayHaveRun)
             guard.expect(eventPatienceMs, Clocks.steadyMs())
             Opened.Stream(UpstreamStream(open.head, upstream, first, open, reader, finish))
         } else if (source.request(MAX_BUFFERED_BYTES + 1)) {
