--- a/node/src/main/kotlin/org/godwitwick/node/forward/FeedFollower.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FeedFollower.kt
@@ -65,19 +65,23 @@
         true
     }, ::failed)
 
-    private fun changes(from: Long, sentAt: ClockReading): Boolean = feed.changes(from, pacing.waitMs).fold({ page ->
-        answered()
-        nextOffset = page.nextOffset
-        listener.onChanges(page.items, provenAt(sentAt, page))
-        true
-    }, ::failed)
+    private fun changes(from: Long, sentAt: ClockReading): Boolean {
+        // After a failure an answer tells that the store is back, so it must not wait for a record.
+        val waitMs = if (failures > 0) 0 else pacing.waitMs
+        return feed.changes(from, waitMs).fold({ page ->
+            answered()
+            nextOffset = page.nextOffset
+            listener.onChanges(page.items, provenAt(sentAt, waitMs, page))
+            true
+        }, ::failed)
+    }
 
     // A read that waited its whole time and found nothing says that there was nothing at the end of the wait.
-    private fun provenAt(sentAt: ClockReading, page: FeedPage<T>): ClockReading {
+    private fun provenAt(sentAt: ClockReading, waitMs: Long, page: FeedPage<T>): ClockReading {
         val now = clock()
-        val hasWaited = page.items.isEmpty() && now.steadyMs - sentAt.steadyMs >= pacing.waitMs
+        val hasWaited = page.items.isEmpty() && now.steadyMs - sentAt.steadyMs >= waitMs
         if (!hasWaited) return sentAt
-        return ClockReading(sentAt.steadyMs + pacing.waitMs, sentAt.wallMs + pacing.waitMs)
+        return ClockReading(sentAt.steadyMs + waitMs, sentAt.wallMs + waitMs)
     }
 
     private fun answered() {
--- a/node/src/test/kotlin/org/godwitwick/node/forward/FeedFollowerTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/FeedFollowerTest.kt
@@ -13,11 +13,15 @@
     private var nowMs = 1_000L
     private val answers = ArrayDeque<() -> Result<FeedPage<String>, FeedFailure>>()
     private val heard = ArrayList<String>()
+    private val waits = ArrayList<Long>()
     private var provenAt: ClockReading? = null
     private val feed = object : RecordFeed<String> {
         override fun newest(): Result<FeedSnapshot<String>, FeedFailure> = Ok(FeedSnapshot(mapOf("a" to "1"), 5))
 
-        override fun changes(fromOffset: Long, waitMs: Long) = answers.removeFirst()()
+        override fun changes(fromOffset: Long, waitMs: Long): Result<FeedPage<String>, FeedFailure> {
+            waits += waitMs
+            return answers.removeFirst()()
+        }
     }
     private val listener = object : FeedListener<String> {
         override fun onSnapshot(items: Map<String, String?>, provenAt: ClockReading) {
@@ -80,6 +84,19 @@
         expectThat(heard).containsExactly("snapshot {a=1}", "snapshot {a=1}")
     }
 
+    // Guards against an outage that seems to last until the first record after it (hunted day of kasher, mix e5164442: the store was back
+    // for 3 s, and an upstream that left then got work for 2 s more).
+    @Test
+    fun `after a failure a read doesn't wait, so that the end of the outage is known at once`() {
+        follower.step()
+        answer(2_000, Err(FeedFailure.Unreachable("down")))
+        answer(1, empty())
+        answer(2_000, empty())
+        repeat(3) { follower.step() }
+        expectThat(waits).containsExactly(2_000, 0, 2_000)
+        expectThat(heard.filter { it == "regained" }).containsExactly("regained")
+    }
+
     @Test
     fun `an outage is told before what is read after it`() {
         follower.step()
