--- a/lab/src/test/kotlin/org/godwitwick/lab/upstream/ReplicaWatcherTest.kt
+++ b/lab/src/test/kotlin/org/godwitwick/lab/upstream/ReplicaWatcherTest.kt
@@ -9,7 +9,7 @@
 /** Guards against work for engines that are leaving or dead while the instance list still shows them as live (G6). */
 class ReplicaWatcherTest {
     @Test
-    fun `a leaving engine gets no new work after the next poll although the list shows it as live`() =
+    fun `a leaving engine gets no new work after the next poll although the list shows it as live`(): Unit =
         EngineFleet(3).use { fleet ->
             val path = fleet.path()
             fleet.engines[1].setLeaving(true)
@@ -21,7 +21,7 @@
         }
 
     @Test
-    fun `a dead engine is left out after two failed polls and taken back when it answers`() = EngineFleet(2).use { fleet ->
+    fun `a dead engine is left out after two failed polls and taken back when it answers`(): Unit = EngineFleet(2).use { fleet ->
         val path = fleet.path()
         fleet.engines[0].die()
         repeat(2) { path.watcher.poll() }
