Pass on what few instances read of the store; collect loads by data centre

Cause: every instance polled the store for itself, 1.2 to 1.5 calls a second, and read the list of instances anew at each change, so that calls grew with the square of the fleet while instances were stopped and started in turn. One collector told the sums of loads to all other instances: at 95 instances some 9 Mbit/s by the size of the message, of a link of 14.

Change: in fleets of more than 12 instances one reader in each data centre, three at the least, reads configuration and registrations; the others ask it, with questions that it may hold for a second. A proof is the moment of the question and the lead that the reader states, so that it can only get older on its way. Readers that are silent or have old knowledge are left at once; at the worst a follower reads the store itself, at most once a second. Readers that the store refuses learn from those that it serves. The list of instances is passed on likewise. Each data centre has its own two collectors of loads, which exchange their sums. Instances that are not listed because the group has too few partitions join with more topics (a fleet of 300 would not have known a third of itself).

Ruled out: proofs in the periodic messages of loads (a message that is late or read by a process that was frozen would make a proof younger than it is); questions without a hold (a change would wait for the period, or need a notice beside it).

--- /dev/null
+++ b/core/src/test/kotlin/org/godwitwick/core/forward/FeedProofModelTest.kt
@@ -0,0 +1,104 @@
+package org.godwitwick.core.forward
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isGreaterThanOrEqualTo
+
+/**
+ * Explores every order of the steps by which the proof of a configuration reaches a follower: reads of the store, questions and answers
+ * in flight, takeover by a second reader, and time that passes for all or while one process is suspended, which its steady clock doesn't
+ * count. At each state the follower must take its proof to be at least as old as it is.
+ */
+class FeedProofModelTest {
+    private data class Clock(val steadyMs: Long, val wallMs: Long) {
+        fun reading() = ClockReading(steadyMs, wallMs)
+
+        fun after(isSuspended: Boolean) = copy(
+            steadyMs = if (isSuspended) steadyMs else steadyMs + TICK_MS,
+            wallMs =
+            wallMs + TICK_MS,
+        )
+    }
+
+    /** A moment on an instance's clocks, and when it truly was. */
+    private data class Moment(val reading: ClockReading, val trueMs: Long)
+
+    private data class Reader(
+        val clock: Clock,
+        val readSentAt: Moment? = null,
+        val proven: Moment? = null,
+        val questionAt: ClockReading? = null,
+    )
+
+    private data class State(
+        val trueMs: Long = 0,
+        val readers: List<Reader> = listOf(Reader(Clock(500, 90_000)), Reader(Clock(7_000, 10_000))),
+        val followerClock: Clock = Clock(3_000, 40_000),
+        val asked: Pair<Int, ClockReading>? = null,
+        // Lead and true moment of an answer that is on its way.
+        val answer: Pair<Long, Long>? = null,
+        val held: Moment? = null,
+    )
+
+    private fun State.with(reader: Int, change: Reader.() -> Reader) =
+        copy(readers = readers.mapIndexed { i, it -> if (i == reader) it.change() else it })
+
+    private fun State.next(): List<State> = buildList {
+        if (trueMs < END_MS) (-1..readers.size).forEach { add(passed(suspended = it)) }
+        readers.forEachIndexed { i, reader ->
+            if (reader.readSentAt == null) add(with(i) { copy(readSentAt = Moment(clock.reading(), trueMs)) })
+            // The answer of the store proves the moment at which it was asked.
+            if (reader.readSentAt != null) add(with(i) { copy(proven = readSentAt, readSentAt = null) })
+            if (asked?.first == i && reader.questionAt == null &&
+                answer == null
+            ) {
+                add(with(i) { copy(questionAt = clock.reading()) })
+            }
+            val proven = reader.proven
+            if (reader.questionAt != null && proven != null && asked?.first == i) {
+                add(
+                    with(i) { copy(questionAt = null) }.copy(
+                        answer =
+                        FeedProof.leadMs(proven.reading, reader.questionAt) to proven.trueMs,
+                    ),
+                )
+            }
+        }
+        if (asked == null) readers.indices.forEach { add(copy(asked = it to followerClock.reading())) }
+        if (asked != null && answer != null) {
+            val proof = Moment(FeedProof.provenAt(asked.second, answer.first), answer.second)
+            add(copy(asked = null, answer = null, held = proof))
+        }
+        // The follower gives up a question and may ask the other reader; a late answer is dropped.
+        if (asked != null) add(copy(asked = null, answer = null, readers = readers.map { it.copy(questionAt = null) }))
+    }
+
+    private fun State.passed(suspended: Int) = copy(
+        trueMs = trueMs + TICK_MS,
+        readers = readers.mapIndexed { i, it -> it.copy(clock = it.clock.after(isSuspended = i == suspended)) },
+        followerClock = followerClock.after(isSuspended = suspended == readers.size),
+    )
+
+    @Test
+    fun `a follower never takes its proof to be younger than it is, in whatever order things happen`() {
+        val seen = HashSet<State>()
+        var open = listOf(State())
+        var proofs = 0
+        while (open.isNotEmpty()) {
+            open.forEach { state ->
+                val held = state.held ?: return@forEach
+                proofs++
+                val believedMs = state.followerClock.reading().longestSince(held.reading)
+                expectThat(believedMs).isGreaterThanOrEqualTo(state.trueMs - held.trueMs)
+            }
+            open = open.flatMap { it.next() }.filter(seen::add)
+        }
+        expectThat(proofs).isGreaterThan(10_000)
+    }
+
+    private companion object {
+        const val TICK_MS = 100L
+        const val END_MS = 200L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FeedRecordsCodec.kt
@@ -0,0 +1,44 @@
+package org.godwitwick.node.forward
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerializationException
+import okio.Buffer
+import okio.DeflaterSink
+import okio.IOException
+import okio.InflaterSource
+import okio.buffer
+import org.godwitwick.node.peer.FeedRecords
+import org.godwitwick.node.peer.peerCbor
+import java.util.zip.Deflater
+import java.util.zip.Inflater
+
+/** Records between instances: CBOR, deflated, since configurations and registrations repeat their words. */
+@OptIn(ExperimentalSerializationApi::class)
+internal fun encodeFeedRecords(records: List<StoredRecord>): ByteArray {
+    if (records.isEmpty()) return ByteArray(0)
+    val wire = FeedRecords(records.map { it.key }, records.map { it.value ?: ByteArray(0) })
+    val packed = Buffer()
+    val deflater = Deflater(Deflater.BEST_SPEED)
+    DeflaterSink(packed, deflater).buffer().use { it.write(peerCbor.encodeToByteArray(FeedRecords.serializer(), wire)) }
+    return packed.readByteArray()
+}
+
+/** The records in [bytes], or null when they can't be read. */
+@OptIn(ExperimentalSerializationApi::class)
+internal fun decodeFeedRecords(bytes: ByteArray): List<StoredRecord>? {
+    if (bytes.isEmpty()) return emptyList()
+    return try {
+        val source = InflaterSource(Buffer().write(bytes), Inflater()).buffer()
+        if (source.request(MAX_UNPACKED_BYTES + 1)) return null
+        val wire = peerCbor.decodeFromByteArray(FeedRecords.serializer(), source.readByteArray())
+        if (wire.keys.size != wire.values.size) return null
+        wire.keys.zip(wire.values) { key, value -> StoredRecord(key, value.takeIf { it.isNotEmpty() }) }
+    } catch (_: IOException) {
+        null
+    } catch (_: SerializationException) {
+        null
+    }
+}
+
+/** Several thousand registrations, or sixteen configurations of the largest size that the store takes. */
+private const val MAX_UNPACKED_BYTES = 4L shl 20
--- a/node/src/main/kotlin/org/godwitwick/node/forward/FleetKnowledge.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FleetKnowledge.kt
@@ -35,10 +35,10 @@
 
         override fun onChanges(items: List<Pair<String, RoutingConfig?>>, provenAt: ClockReading) = control.post {
             items.forEach { (key, config) -> if (config == null) unreadable(key) else accept(config) }
-            this@FleetKnowledge.config = ConfigKnowledge(gate.table, provenAt)
+            this@FleetKnowledge.config = ConfigKnowledge(gate.table, later(config.provenAt, provenAt))
         }
 
-        override fun onRegained() = Unit
+        override fun onRegained(atMs: Long) = Unit
     }
 
     /** Listener of the registrations of upstreams. */
@@ -54,9 +54,13 @@
             publish()
         }
 
-        override fun onRegained() = control.post { directory.onStoreRegained(nowMs()) }
+        override fun onRegained(atMs: Long) = control.post { directory.onStoreRegained(atMs) }
     }
 
+    // Another reader may have proved the configuration at an earlier moment than the last one did.
+    private fun later(known: ClockReading?, new: ClockReading): ClockReading =
+        if (known != null && known.steadyMs > new.steadyMs) known else new
+
     private fun accept(config: RoutingConfig) {
         if (gate.accept(config)) {
             log.info("config: version {} with {} routes is in force", config.version, config.routes.size)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -1,5 +1,6 @@
 package org.godwitwick.node.forward
 
+import org.godwitwick.core.forward.FeedSourceChoice
 import org.godwitwick.core.forward.ForwardAdmission
 import org.godwitwick.core.forward.KeyFreshness
 import org.godwitwick.core.forward.PatienceRule
@@ -36,7 +37,8 @@
     private val loads = UpstreamLoads()
     private val peerLoads = PeerLoads()
     private val self = RegisteredInstance(InstanceId(settings.instanceName), settings.dataCentre, settings.peerAddress)
-    private val peers = ForwardPeers(self, registry, loads, peerLoads)
+    private val caches = listOf(CONFIG_FEED, UPSTREAM_FEED).associateWith { FeedCache(Clocks::read) }
+    private val peers = ForwardPeers(self, registry, loads, peerLoads, caches)
     private val freshness = KeyFreshness(settings.revocationMs)
     private val knowledge = FleetKnowledge(control, loads, Clocks::steadyMs)
     private val client = ForwardClient(dialect, CONNECT_TIMEOUT_MS)
@@ -55,28 +57,17 @@
         peerLoads = peerLoads,
         budgets = RetryBudgets(
             settings.retryFraction * RETRY_SAFETY,
-            { reserveShareOf(settings.retryReserve, peers.largestFleet) },
+            { reserveShareOf(settings.retryReserve, peers.fleet.largestCount) },
             settings.retryWindowMs + settings.retryWindowMs / RETRY_SLOTS,
         ),
         metrics = ForwardMetrics(metrics.registry),
         random = Random.Default,
-        instanceCount = peers::instanceCount,
+        instanceCount = peers.fleet::instanceCount,
         onLongPlaced = peers::tellSoon,
     )
-    private val configFollower = FeedFollower(
-        "config",
-        configFeed,
-        FeedPacing(settings.revocationMs * 2 / 5, CONFIG_PERIOD_MS, settings.heartbeatMs),
-        knowledge.configListener,
-        Clocks::read,
-    )
-    private val upstreamFollower = FeedFollower(
-        "upstreams",
-        upstreamFeed,
-        FeedPacing(UPSTREAM_WAIT_MS, settings.leavingMs / 2, settings.heartbeatMs),
-        knowledge.upstreamListener,
-        Clocks::read,
-    )
+    private val configFollower = follower(CONFIG_FEED, configFeed, FeedTiming.ofConfig(settings), knowledge.configListener)
+    private val upstreamFollower =
+        follower(UPSTREAM_FEED, upstreamFeed, FeedTiming.ofUpstreams(settings), knowledge.upstreamListener)
 
     private val drain = Drain(
         ReadinessGate(),
@@ -136,6 +127,21 @@
         drain.await()
     }
 
+    private fun <T> follower(name: String, feed: RecordFeed<T>, pacing: FeedPacing, listener: FeedListener<T>): FeedFollower<T> {
+        val reader = SharedReader(
+            name,
+            self.id,
+            StoreReader(name, feed, settings.heartbeatMs, Clocks::read),
+            caches.getValue(name),
+            FeedSourceChoice(self.id, self.dataCentre),
+            pacing,
+            peers.fleet::plan,
+            peers::ask,
+            Clocks::read,
+        )
+        return FeedFollower(name, reader, feed::decode, listener)
+    }
+
     private fun operate(request: Request): Response = when (request.uri.path) {
         settings.readinessPath -> Response(if (isReady) Status.OK else Status.SERVICE_UNAVAILABLE)
         settings.metricsPath -> Response(Status.OK).header("Content-Type", NodeMetrics.CONTENT_TYPE).body(metrics.render())
@@ -169,10 +175,8 @@
         const val IDLE_TIMEOUT_MS = 120_000
         const val HEADER_TIMEOUT_MS = 30_000
 
-        /** Changes of the configuration that come within this time share a read. */
-        const val CONFIG_PERIOD_MS = 50L
-
-        const val UPSTREAM_WAIT_MS = 5_000L
+        const val CONFIG_FEED = "config"
+        const val UPSTREAM_FEED = "upstreams"
 
         /** Part of the fleet's retry fraction that is used, since windows of different instances don't begin together. */
         const val RETRY_SAFETY = 0.8
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardParts.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardParts.kt
@@ -26,7 +26,6 @@
     private val instanceCount: () -> Int?,
     val onLongPlaced: () -> Unit,
 ) {
-    /** Share of the fleet's instances whose work is known at [nowMs], this one included; zero before the others are known. */
-    fun knownShare(nowMs: Long): Double =
-        instanceCount()?.let { ((1.0 + peerLoads.heardAt(nowMs)) / it).coerceAtMost(1.0) } ?: 0.0
+    /** Share of the fleet's instances whose work is known, this one's and that of [others]; zero before the others are known. */
+    fun knownShare(others: OthersWork): Double = instanceCount()?.let { ((1.0 + others.instances) / it).coerceAtMost(1.0) } ?: 0.0
 }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/InstanceRegistry.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/InstanceRegistry.kt
@@ -8,8 +8,11 @@
 
 /** The instances that are registered on the platform. Used by one thread. */
 interface InstanceRegistry {
-    /** Registers [self], or keeps it registered, and returns all instances. */
-    fun announce(self: RegisteredInstance): Result<List<RegisteredInstance>, FeedFailure>
+    /** Registers [self], or keeps it registered, for [ttlMs]; returns a number that grows with each change of the registered instances. */
+    fun announce(self: RegisteredInstance, ttlMs: Long): Result<Long, FeedFailure>
+
+    /** All instances that are registered. */
+    fun instances(): Result<List<RegisteredInstance>, FeedFailure>
 
     /** A secret that all instances share and nobody else knows; the first one makes it. */
     fun sharedSecret(): Result<ByteArray, FeedFailure>
--- a/node/src/main/kotlin/org/godwitwick/node/forward/PeerLoads.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/PeerLoads.kt
@@ -4,52 +4,65 @@
 import org.godwitwick.core.forward.UpstreamWork
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.peer.ForwardLoad
+import org.godwitwick.node.peer.LoadScope
 import java.util.concurrent.ConcurrentHashMap
 
-/** The work of the other instances, as each last told it, or as a collector told the sum of all. */
+/** The work of the other instances, as each last told it, or as collectors told the sums of data centres or of all. */
 class PeerLoads {
-    private class Told(val load: ForwardLoad, val atMs: Long, val work: Map<Int, UpstreamWork>) {
-        fun workAt(key: Int, nowMs: Long): UpstreamWork? = work[key]?.agedBy(nowMs - atMs)
+    private class Told(val load: ForwardLoad, val atMs: Long, private val work: Map<Int, UpstreamWork>) {
+        fun agedWork(nowMs: Long): Map<Int, UpstreamWork> = work.mapValues { it.value.agedBy(nowMs - atMs) }
     }
 
     private val rows = ConcurrentHashMap<InstanceId, Told>()
-    private val sums = ConcurrentHashMap<InstanceId, Told>()
+    private val dataCentreSums = ConcurrentHashMap<String, Told>()
+    private val fleetSums = ConcurrentHashMap<InstanceId, Told>()
 
-    /** Takes what [from] tells; of two messages the one that was written later counts. */
-    fun take(from: InstanceId, load: ForwardLoad, nowMs: Long) {
-        val known = if (load.isSum) sums else rows
-        known.compute(from) { _, last ->
-            if (last != null && last.load.isNewerThan(load)) last else Told(load, nowMs, load.byUpstream())
-        }
+    /** Takes what [from] tells; of two messages of one sender the one that was written later counts. */
+    fun take(from: InstanceId, load: ForwardLoad, nowMs: Long) = when (load.scope) {
+        LoadScope.INSTANCE -> rows.keep(from, load, nowMs)
+        LoadScope.DATA_CENTRE -> dataCentreSums.keep(load.dataCentre, load, nowMs)
+        LoadScope.FLEET -> fleetSums.keep(from, load, nowMs)
     }
 
-    /** The work of all others at [entry]. What was told more than [MAX_AGE_MS] ago no longer counts. */
-    fun workAt(entry: UpstreamEntry, nowMs: Long): UpstreamWork {
-        val key = ForwardLoad.keyOf(entry.id)
-        return sources(nowMs).mapNotNull { it.workAt(key, nowMs) }.fold(UpstreamWork(), UpstreamWork::plus)
+    private fun <K : Any> ConcurrentHashMap<K, Told>.keep(key: K, load: ForwardLoad, nowMs: Long) {
+        compute(key) { _, last ->
+            if (last != null &&
+                last.load.isNewerThan(load)
+            ) {
+                last
+            } else {
+                Told(load, nowMs, load.byUpstream())
+            }
+        }
     }
 
-    /** Other instances whose work is known at [nowMs]. */
-    fun heardAt(nowMs: Long): Int = sources(nowMs).sumOf { it.load.instances }
+    /** The work of all others at [nowMs]. What was told more than [MAX_AGE_MS] ago no longer counts. */
+    fun at(nowMs: Long): OthersWork {
+        val sources = sources(nowMs)
+        return OthersWork(sum(sources.map { it.agedWork(nowMs) }), sources.sumOf { it.load.instances })
+    }
 
     /** Time since [instance] last told its work, or null when it never did. */
     fun silentMs(instance: InstanceId, nowMs: Long): Long? = rows[instance]?.let { nowMs - it.atMs }
 
-    /** The sum of what each instance told lately. */
+    /** The sums of what was told lately to this collector. */
     fun sums(nowMs: Long): LoadSums {
-        val fresh = rows.filterValues { it.isFresh(nowMs) }
-        val work = HashMap<Int, UpstreamWork>()
-        fresh.values.forEach { row ->
-            row.work.forEach { (key, told) -> work.merge(key, told.agedBy(nowMs - row.atMs), UpstreamWork::plus) }
-        }
-        return LoadSums(work, fresh.mapValues { (_, row) -> row.work.mapValues { it.value.agedBy(nowMs - row.atMs) } })
+        val fresh = rows.filterValues { it.isFresh(nowMs) }.mapValues { it.value.agedWork(nowMs) }
+        val elsewhere = dataCentreSums.values.filter { it.isFresh(nowMs) }
+        return LoadSums(
+            near = sum(fresh.values),
+            rows = fresh,
+            elsewhere = sum(elsewhere.map { it.agedWork(nowMs) }),
+            instancesElsewhere = elsewhere.sumOf { it.load.instances },
+        )
     }
 
-    // Either the rows of all others or the newest sum, whichever covers more instances, so that nothing counts twice.
+    // Either the rows and the sums of other data centres or the newest sum of all, whichever covers more instances, so that nothing
+    // counts twice.
     private fun sources(nowMs: Long): List<Told> {
-        val fresh = rows.values.filter { it.isFresh(nowMs) }
-        val sum = sums.values.filter { it.isFresh(nowMs) }.maxByOrNull { it.atMs }
-        return if (sum != null && sum.load.instances > fresh.size) listOf(sum) else fresh
+        val parts = (rows.values + dataCentreSums.values).filter { it.isFresh(nowMs) }
+        val whole = fleetSums.values.filter { it.isFresh(nowMs) }.maxByOrNull { it.atMs }
+        return if (whole != null && whole.load.instances > parts.sumOf { it.load.instances }) listOf(whole) else parts
     }
 
     private fun Told.isFresh(nowMs: Long): Boolean = nowMs - atMs <= MAX_AGE_MS
@@ -61,19 +74,49 @@
 }
 
 /**
- * The work of the instances that a collector has heard.
+ * The work of the other instances at one moment.
  *
- * @property work all of it, by the key of the upstream.
- * @property rows the work of each instance, by the key of the upstream.
+ * @property instances other instances whose work is known.
  */
-class LoadSums(private val work: Map<Int, UpstreamWork>, private val rows: Map<InstanceId, Map<Int, UpstreamWork>>) {
-    /** The message for [receiver]: the collector's [own] work and that of all others, without the receiver's. */
+class OthersWork(private val work: Map<Int, UpstreamWork>, val instances: Int) {
+    /** Their work at [entry]. */
+    fun workAt(entry: UpstreamEntry): UpstreamWork = work[ForwardLoad.keyOf(entry.id)] ?: NONE
+
+    private companion object {
+        val NONE = UpstreamWork()
+    }
+}
+
+/**
+ * The work that a collector knows, by the key of the upstream.
+ *
+ * @property near that of the other instances of its data centre.
+ * @property rows the same for each instance.
+ * @property elsewhere that of the other data centres.
+ */
+class LoadSums(
+    private val near: Map<Int, UpstreamWork>,
+    private val rows: Map<InstanceId, Map<Int, UpstreamWork>>,
+    private val elsewhere: Map<Int, UpstreamWork>,
+    private val instancesElsewhere: Int,
+) {
+    /** The message for collectors elsewhere: the work of [dataCentre], the collector's [own] included. */
+    fun ofDataCentre(dataCentre: String, own: Map<Int, UpstreamWork>, wallMs: Long): ForwardLoad =
+        ForwardLoad.of(sum(listOf(near, own)), wallMs, rows.size + 1, LoadScope.DATA_CENTRE, dataCentre)
+
+    /** The message for [receiver], an instance of this data centre: the work of all others, without the receiver's. */
     fun without(receiver: InstanceId, own: Map<Int, UpstreamWork>, wallMs: Long): ForwardLoad {
-        val sum = HashMap(work)
-        rows[receiver]?.forEach { (key, told) -> sum.computeIfPresent(key) { _, all -> all - told } }
-        own.forEach { (key, told) -> sum.merge(key, told, UpstreamWork::plus) }
-        return ForwardLoad.of(sum, wallMs, instances = rows.keys.count { it != receiver } + 1, isSum = true)
+        val all = sum(listOf(near, own, elsewhere))
+        rows[receiver]?.forEach { (key, told) -> all.computeIfPresent(key) { _, work -> work - told } }
+        val instances = rows.keys.count { it != receiver } + 1 + instancesElsewhere
+        return ForwardLoad.of(all, wallMs, instances, LoadScope.FLEET)
     }
 }
 
+private fun sum(parts: Collection<Map<Int, UpstreamWork>>): HashMap<Int, UpstreamWork> {
+    val all = HashMap<Int, UpstreamWork>()
+    parts.forEach { part -> part.forEach { (key, work) -> all.merge(key, work, UpstreamWork::plus) } }
+    return all
+}
+
 private fun UpstreamWork.agedBy(ms: Long): UpstreamWork = copy(pendingReadMs = (pendingReadMs - ms).coerceAtLeast(0.0))
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
@@ -29,19 +29,25 @@
         val nowMs = Clocks.steadyMs()
         val known = parts.knowledge.upstreams[serviceName].orEmpty().filter { it.address !in avoided }
         val untried = known.filter { it !in tried }.ifEmpty { known }
-        val views = untried.shuffled(parts.random).map { viewOf(it, nowMs) }
-        val placement = placementOf(service?.engine, views, route, nowMs) ?: return null
+        val others = parts.peerLoads.at(nowMs)
+        val views = untried.shuffled(parts.random).map { viewOf(it, others, nowMs) }
+        val placement = placementOf(service?.engine, views, route, parts.knownShare(others)) ?: return null
         return PlacedWork(placement, readMsOf(service?.engine, placement), heldTokensOf(placement), isShortStream(route))
     }
 
-    private fun placementOf(engine: EngineProfile?, views: List<UpstreamView>, route: ForwardRoute, nowMs: Long): Placement? {
+    private fun placementOf(
+        engine: EngineProfile?,
+        views: List<UpstreamView>,
+        route: ForwardRoute,
+        knownShare: Double,
+    ): Placement? {
         val size = request.size
         if (engine == null || size == null) return parts.placement.place(views)
-        return parts.placement.place(PlacementDemand(size, route.targetMs), engine, views, parts.knownShare(nowMs))
+        return parts.placement.place(PlacementDemand(size, route.targetMs), engine, views, knownShare)
     }
 
-    private fun viewOf(entry: UpstreamEntry, nowMs: Long): UpstreamView {
-        val work = parts.loads.workAt(entry, nowMs) + parts.peerLoads.workAt(entry, nowMs)
+    private fun viewOf(entry: UpstreamEntry, others: OthersWork, nowMs: Long): UpstreamView {
+        val work = parts.loads.workAt(entry, nowMs) + others.workAt(entry)
         return UpstreamView(entry, work, parts.loads.penaltyOf(entry, nowMs))
     }
 
--- a/node/src/main/kotlin/org/godwitwick/node/peer/ForwardLoad.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/ForwardLoad.kt
@@ -7,13 +7,30 @@
 import org.godwitwick.core.forward.UpstreamWork
 import org.godwitwick.core.model.InstanceId
 
+/** Whose work a [ForwardLoad] tells. */
+@Serializable
+enum class LoadScope {
+    /** The sender's own. */
+    @SerialName("i")
+    INSTANCE,
+
+    /** That of all instances of one data centre, told by its collector. */
+    @SerialName("d")
+    DATA_CENTRE,
+
+    /** That of all instances but the receiver, told by its collector. */
+    @SerialName("f")
+    FLEET,
+}
+
 /**
  * The sender's work at each upstream, or the sum of several instances'. The lists run in parallel; an upstream is named by the hash of
  * its id.
  *
  * @property sentAtMs time of writing on the sender's clock, which orders the messages of one sender.
  * @property instances instances whose work is told.
- * @property isSum whether a collector tells the work of others too.
+ * @property scope whose work it is.
+ * @property dataCentre the data centre whose work is told, or empty.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -27,7 +44,8 @@
     @CborLabel(6) val helping: List<Int>,
     @CborLabel(7) val heldKiloTokens: List<Int>,
     @CborLabel(8) val instances: Int = 1,
-    @CborLabel(9) val isSum: Boolean = false,
+    @CborLabel(9) val scope: LoadScope = LoadScope.INSTANCE,
+    @CborLabel(10) val dataCentre: String = "",
 ) : PeerMessage {
     /** Whether the sender wrote this message after [other]. A restart of the sender may set its clock back by seconds only. */
     fun isNewerThan(other: ForwardLoad): Boolean = sentAtMs > other.sentAtMs && sentAtMs - other.sentAtMs < MAX_DISORDER_MS
@@ -52,7 +70,13 @@
         fun keyOf(id: InstanceId): Int = id.value.hashCode()
 
         /** The message that tells [work], by [keyOf] of the upstream, at [nowMs]. */
-        fun of(work: Map<Int, UpstreamWork>, nowMs: Long, instances: Int = 1, isSum: Boolean = false): ForwardLoad {
+        fun of(
+            work: Map<Int, UpstreamWork>,
+            nowMs: Long,
+            instances: Int = 1,
+            scope: LoadScope = LoadScope.INSTANCE,
+            dataCentre: String = "",
+        ): ForwardLoad {
             val rows = work.entries.filter { it.value != UpstreamWork() }
             return ForwardLoad(
                 nowMs,
@@ -63,7 +87,8 @@
                 rows.map { it.value.helping },
                 rows.map { (it.value.heldTokens / KILO).toInt() },
                 instances,
-                isSum,
+                scope,
+                dataCentre,
             )
         }
     }
--- a/node/src/main/kotlin/org/godwitwick/node/peer/NoPeers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/NoPeers.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
 import org.godwitwick.core.model.InstanceId
+import java.util.concurrent.CompletableFuture
 
 /** The peer network of an instance that runs alone. */
 class NoPeers : PeerNetwork {
@@ -13,5 +14,8 @@
     override fun request(to: InstanceId, message: PeerMessage, timeoutMs: Long): Result<PeerMessage, PeerFailure> =
         Err(PeerFailure.NotSent("no peer network"))
 
-    override fun <M : PeerMessage> handle(type: Class<M>, handler: (from: InstanceId, message: M) -> PeerMessage?) = Unit
+    override fun <M : PeerMessage> handleLater(
+        type: Class<M>,
+        handler: (from: InstanceId, message: M) -> CompletableFuture<out PeerMessage?>,
+    ) = Unit
 }
--- a/node/src/main/kotlin/org/godwitwick/node/peer/PeerNetwork.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/PeerNetwork.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.Result
 import org.godwitwick.core.model.InstanceId
+import java.util.concurrent.CompletableFuture
 
 /** Messages between entry instances. A message may be lost, late or repeated; nothing durable depends on one. */
 interface PeerNetwork {
@@ -15,7 +16,14 @@
     fun request(to: InstanceId, message: PeerMessage, timeoutMs: Long): Result<PeerMessage, PeerFailure>
 
     /** Registers the handler of one message type; its return value is the answer of a request, or null for none. */
-    fun <M : PeerMessage> handle(type: Class<M>, handler: (from: InstanceId, message: M) -> PeerMessage?)
+    fun <M : PeerMessage> handle(type: Class<M>, handler: (from: InstanceId, message: M) -> PeerMessage?) =
+        handleLater(type) { from, message -> CompletableFuture.completedFuture(handler(from, message)) }
+
+    /** Registers a handler like [handle] whose answer may come later without holding a thread. */
+    fun <M : PeerMessage> handleLater(
+        type: Class<M>,
+        handler: (from: InstanceId, message: M) -> CompletableFuture<out PeerMessage?>,
+    )
 }
 
 /** A live entry instance as other instances see it. */
--- a/node/src/main/kotlin/org/godwitwick/node/peer/PeerTransport.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/PeerTransport.kt
@@ -58,7 +58,13 @@
         TimeUnit.SECONDS,
         ArrayBlockingQueue(limits.handlerQueue),
     ) { Thread(it, "peer-handler").apply { isDaemon = true } }.apply { allowCoreThreadTimeOut(true) }
-    private val handlers = ConcurrentHashMap<Class<out PeerMessage>, (InstanceId, PeerMessage) -> PeerMessage?>()
+    private val handlers = ConcurrentHashMap<
+        Class<out PeerMessage>,
+        (
+            InstanceId,
+            PeerMessage,
+        ) -> CompletableFuture<out PeerMessage?>,
+        >()
     private val links = ConcurrentHashMap<String, PeerLink>()
     private val correlations = AtomicLong()
     private val server = PeerServer(gate, limits, ::dispatch)
@@ -103,7 +109,10 @@
         return frame.answer.thenApply(::decoded)
     }
 
-    override fun <M : PeerMessage> handle(type: Class<M>, handler: (from: InstanceId, message: M) -> PeerMessage?) {
+    override fun <M : PeerMessage> handleLater(
+        type: Class<M>,
+        handler: (from: InstanceId, message: M) -> CompletableFuture<out PeerMessage?>,
+    ) {
         handlers[type] = { from, message -> handler(from, type.cast(message)) }
     }
 
@@ -135,25 +144,25 @@
 
     private fun dispatch(frame: PeerFrame, answer: (ByteArray?) -> Unit) {
         try {
-            handlerPool.execute { answer(handled(frame)) }
+            handlerPool.execute { handled(frame).thenAccept { answer(it?.let(::encodeMessage)) } }
         } catch (_: RejectedExecutionException) {
             answer(null)
         }
     }
 
-    private fun handled(frame: PeerFrame): ByteArray? = try {
+    private fun handled(frame: PeerFrame): CompletableFuture<out PeerMessage?> = try {
         val message = peerCbor.decodeFromByteArray(PeerMessage.serializer(), frame.body)
-        handlers[message.javaClass]?.invoke(InstanceId(frame.header.from), message)?.let(::encodeMessage)
+        handlers[message.javaClass]?.invoke(InstanceId(frame.header.from), message) ?: NO_MESSAGE
     } catch (e: SerializationException) {
         // A newer version may send messages that this one doesn't know.
         log.warn("peer: message from {} not understood: {}", frame.header.from, e.message)
-        null
+        NO_MESSAGE
     } catch (e: RejectedExecutionException) {
         log.debug("peer: message from {} not handled, this instance stops: {}", frame.header.from, e.message)
-        null
+        NO_MESSAGE
     } catch (e: RuntimeException) {
         log.error("peer: handler failed for a message from {}", frame.header.from, e)
-        null
+        NO_MESSAGE
     }
 
     private fun encodeMessage(message: PeerMessage) = peerCbor.encodeToByteArray(PeerMessage.serializer(), message)
@@ -176,5 +185,6 @@
         val log = LoggerFactory.getLogger(PeerTransport::class.java)
         const val IO_THREADS = 3
         const val HANDLER_IDLE_S = 30L
+        val NO_MESSAGE: CompletableFuture<PeerMessage?> = CompletableFuture.completedFuture(null)
     }
 }
--- a/node/src/test/kotlin/org/godwitwick/node/claim/PeerHub.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/claim/PeerHub.kt
@@ -8,6 +8,7 @@
 import org.godwitwick.node.peer.PeerFailure
 import org.godwitwick.node.peer.PeerMessage
 import org.godwitwick.node.peer.PeerNetwork
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentHashMap
 
 /** Connects instances in memory. A request runs its handler on the calling thread. */
@@ -39,8 +40,11 @@
                 return if (answer == null || to in mute) Err(PeerFailure.NoAnswer("answer lost")) else Ok(answer)
             }
 
-            override fun <M : PeerMessage> handle(type: Class<M>, handler: (from: InstanceId, message: M) -> PeerMessage?) {
-                handlers.getValue(self)[type] = { from, message -> handler(from, type.cast(message)) }
+            override fun <M : PeerMessage> handleLater(
+                type: Class<M>,
+                handler: (from: InstanceId, message: M) -> CompletableFuture<out PeerMessage?>,
+            ) {
+                handlers.getValue(self)[type] = { from, message -> handler(from, type.cast(message)).join() }
             }
         }
     }
--- a/node/src/test/kotlin/org/godwitwick/node/forward/FeedFollowerTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/FeedFollowerTest.kt
@@ -4,24 +4,30 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import org.godwitwick.core.forward.ClockReading
+import org.godwitwick.core.forward.FeedSourceChoice
+import org.godwitwick.core.forward.ReaderPlan
+import org.godwitwick.core.model.InstanceId
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
 
+/** An instance of a small fleet, which reads the store for itself. */
 class FeedFollowerTest {
     private var nowMs = 1_000L
-    private val answers = ArrayDeque<() -> Result<FeedPage<String>, FeedFailure>>()
+    private val answers = ArrayDeque<() -> Result<StoredPage, FeedFailure>>()
     private val heard = ArrayList<String>()
     private val waits = ArrayList<Long>()
     private var provenAt: ClockReading? = null
     private val feed = object : RecordFeed<String> {
-        override fun newest(): Result<FeedSnapshot<String>, FeedFailure> = Ok(FeedSnapshot(mapOf("a" to "1"), 5))
+        override fun newest(): Result<StoredPage, FeedFailure> = Ok(page(5, "a" to "1"))
 
-        override fun changes(fromOffset: Long, waitMs: Long): Result<FeedPage<String>, FeedFailure> {
+        override fun changes(fromOffset: Long, waitMs: Long): Result<StoredPage, FeedFailure> {
             waits += waitMs
             return answers.removeFirst()()
         }
+
+        override fun decode(records: List<StoredRecord>) = records.map { it.key to it.value?.decodeToString() }
     }
     private val listener = object : FeedListener<String> {
         override fun onSnapshot(items: Map<String, String?>, provenAt: ClockReading) {
@@ -34,27 +40,40 @@
             this@FeedFollowerTest.provenAt = provenAt
         }
 
-        override fun onRegained() {
+        override fun onRegained(atMs: Long) {
             heard += "regained"
         }
     }
-    private val follower =
-        FeedFollower("test", feed, FeedPacing(waitMs = 2_000, periodMs = 0, outageMs = 1_200), listener) {
-            ClockReading(nowMs, nowMs)
-        }
+    private val clock = { ClockReading(nowMs, nowMs) }
+    private val reader = SharedReader(
+        "test",
+        InstanceId("entry-1"),
+        StoreReader("test", feed, outageMs = 1_200, clock),
+        FeedCache(clock),
+        FeedSourceChoice(InstanceId("entry-1"), "dc"),
+        FeedPacing(waitMs = 2_000, periodMs = 0, sharedWaitMs = 1_000, sharedPeriodMs = 0, maxAgeMs = 2_000),
+        plan = { ReaderPlan(emptyMap()) },
+        ask = { _, _, _ -> error("there is nobody to ask") },
+        clock,
+        pause = { nowMs += it },
+    )
+    private val follower = FeedFollower("test", reader, feed::decode, listener)
+
+    private fun page(nextOffset: Long, vararg records: Pair<String, String?>) =
+        StoredPage(records.map { (key, value) -> StoredRecord(key, value?.toByteArray()) }, nextOffset)
 
-    private fun answer(afterMs: Long, result: Result<FeedPage<String>, FeedFailure>) = answers.addLast {
+    private fun answer(afterMs: Long, result: Result<StoredPage, FeedFailure>) = answers.addLast {
         nowMs += afterMs
         result
     }
 
-    private fun empty() = Ok(FeedPage<String>(emptyList(), 5))
+    private fun empty() = Ok(page(5))
 
     // Guards against a long poll that is taken as proof of the moment at which it was answered.
     @Test
     fun `an answer proves the moment at which it was asked for`() {
         follower.step()
-        answer(700, Ok(FeedPage(listOf("a" to "2"), 6)))
+        answer(700, Ok(page(6, "a" to "2")))
         follower.step()
         expectThat(provenAt?.steadyMs).isEqualTo(1_000)
     }
@@ -101,7 +120,7 @@
     fun `an outage is told before what is read after it`() {
         follower.step()
         answer(2_000, Err(FeedFailure.Unreachable("down")))
-        answer(1, Ok(FeedPage(listOf("a" to null), 6)))
+        answer(1, Ok(page(6, "a" to null)))
         follower.step()
         follower.step()
         expectThat(heard).containsExactly("snapshot {a=1}", "regained", "changes [(a, null)]")
--- a/node/src/test/kotlin/org/godwitwick/node/forward/LoadExchangeTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/LoadExchangeTest.kt
@@ -13,31 +13,36 @@
 import strikt.assertions.isLessThanOrEqualTo
 
 class LoadExchangeTest {
-    private class Instance(val id: InstanceId, send: (InstanceId, ForwardLoad) -> Unit) {
+    private class Instance(val registered: RegisteredInstance, send: (InstanceId, ForwardLoad) -> Unit) {
         val loads = UpstreamLoads()
         val peerLoads = PeerLoads()
-        val exchange = LoadExchange(id, loads, peerLoads, send)
+        val exchange = LoadExchange(registered, loads, peerLoads, send)
     }
 
     private class Fleet(count: Int) {
-        val ids = (1..count).map { InstanceId("entry-$it") }
+        val registered = (1..count).map { RegisteredInstance(InstanceId("entry-$it"), "dc-${it % 3}", "10.0.0.$it:1") }
+        val ids = registered.map { it.id }
+        private val othersOf = registered.associate { self -> self.id to registered.filter { it != self } }
         val down = HashSet<InstanceId>()
         var messages = 0
+        val sent = HashMap<InstanceId, Int>()
         var nowMs = 0L
-        val instances: Map<InstanceId, Instance> = ids.associateWith { id -> Instance(id) { to, load -> deliver(id, to, load) } }
+        val instances: Map<InstanceId, Instance> =
+            registered.associate { self -> self.id to Instance(self) { to, load -> deliver(self.id, to, load) } }
 
         private fun deliver(from: InstanceId, to: InstanceId, load: ForwardLoad) {
             messages++
+            sent.merge(from, 1, Int::plus)
             if (to !in down) instances.getValue(to).peerLoads.take(from, load, nowMs)
         }
 
         fun rounds(count: Int) = repeat(count) {
             nowMs += PERIOD_MS
-            instances.values.filter { it.id !in down }.forEach { it.exchange.round(ids.toSet() - it.id, nowMs, nowMs) }
+            instances.filterKeys { it !in down }.forEach { (id, it) -> it.exchange.round(othersOf.getValue(id), nowMs, nowMs) }
         }
 
         fun runningAt(upstream: UpstreamEntry): Map<InstanceId, Int> = instances.filterKeys { it !in down }
-            .mapValues { it.value.loads.workAt(upstream, nowMs).running + it.value.peerLoads.workAt(upstream, nowMs).running }
+            .mapValues { it.value.loads.workAt(upstream, nowMs).running + it.value.peerLoads.at(nowMs).workAt(upstream).running }
     }
 
     private val upstream = UpstreamEntry(InstanceId("engine"), "llm", "10.0.0.1:1", "dc", 8, isLeaving = false, bornMs = 1)
@@ -52,7 +57,7 @@
             fleet.instances.values.forEach { it.begin() }
             fleet.rounds(6)
             expectThat(fleet.runningAt(upstream).values.toList()).all { isEqualTo(size) }
-            expectThat(fleet.instances.values.map { it.peerLoads.heardAt(fleet.nowMs) }).all { isEqualTo(size - 1) }
+            expectThat(fleet.instances.values.map { it.peerLoads.at(fleet.nowMs).instances }).all { isEqualTo(size - 1) }
         }
     }
 
@@ -86,14 +91,25 @@
         expectThat(fleet.messages).isLessThanOrEqualTo(4 * 520 * 10)
     }
 
+    // Guards against one instance whose link carries the sums of the whole fleet.
+    @Test
+    fun `no instance sends more messages in a round than its data centre has instances, and a few to other data centres`() {
+        val fleet = Fleet(96)
+        fleet.instances.values.forEach { it.begin() }
+        fleet.rounds(10)
+        expectThat(fleet.sent.values.max()).isLessThanOrEqualTo((96 / 3 + 4) * 10)
+    }
+
     @Test
     fun `after the first collector is lost the second one tells the work within two seconds`() {
         val fleet = Fleet(30)
         fleet.instances.values.forEach { it.begin() }
         fleet.rounds(6)
-        fleet.down += LoadExchangePlan.of(fleet.ids.toSet()).collectors.first()
+        fleet.down += LoadExchangePlan.of(fleet.registered.associate { it.id to it.dataCentre }).collectorsOf("dc-1").first()
         fleet.rounds((2_000 / PERIOD_MS).toInt())
         expectThat(fleet.runningAt(upstream).values.toList()).all { isEqualTo(29) }
+        expectThat(fleet.instances.filterKeys { it !in fleet.down }.values.map { it.peerLoads.at(fleet.nowMs).instances })
+            .all { isEqualTo(28) }
     }
 
     private companion object {
--- /dev/null
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/SharedReaderTest.kt
@@ -0,0 +1,255 @@
+package org.godwitwick.node.forward
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import org.godwitwick.core.forward.ClockReading
+import org.godwitwick.core.forward.FeedSourceChoice
+import org.godwitwick.core.forward.ReaderPlan
+import org.godwitwick.core.model.InstanceId
+import org.godwitwick.node.peer.FeedAnswer
+import org.godwitwick.node.peer.FeedPull
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isTrue
+import java.util.concurrent.Executor
+import kotlin.random.Random
+
+/**
+ * A large fleet that follows one feed, in model time: each instance reads in its turn, and a question to another instance is answered
+ * at once. Held questions are covered by `FeedCacheTest`.
+ */
+class SharedReaderTest {
+    private class Store {
+        val records = ArrayList<StoredRecord>()
+        val refused = HashSet<InstanceId>()
+        var isDown = false
+        var calls = 0
+
+        fun feedOf(id: InstanceId) = object : RecordFeed<String> {
+            override fun newest() = answer(id) {
+                StoredPage(records.associateBy { it.key }.values.toList(), records.size.toLong())
+            }
+
+            override fun changes(fromOffset: Long, waitMs: Long) =
+                answer(id) { StoredPage(records.drop(fromOffset.toInt()), records.size.toLong()) }
+
+            override fun decode(records: List<StoredRecord>) = records.map { it.key to it.value?.decodeToString() }
+        }
+
+        private fun answer(id: InstanceId, page: () -> StoredPage): Result<StoredPage, FeedFailure> {
+            calls++
+            return if (isDown || id in refused) Err(FeedFailure.Unreachable("refused")) else Ok(page())
+        }
+    }
+
+    private inner class Instance(val id: InstanceId, dataCentre: String) {
+        // Clocks of different instances have nothing in common.
+        private val offsetMs = id.value.hashCode().toLong()
+        private val clock = { ClockReading(nowMs + offsetMs, nowMs - offsetMs) }
+        val cache = FeedCache(clock) { Executor { } }
+        private val feed = store.feedOf(id)
+        val regained = ArrayList<Long>()
+        val values = HashMap<String, String?>()
+        var provenAt: ClockReading? = null
+        private var untilMs = 0L
+        private val reader = SharedReader(
+            "test",
+            id,
+            StoreReader("test", feed, outageMs = 1_200, clock),
+            cache,
+            FeedSourceChoice(id, dataCentre),
+            FeedPacing(waitMs = 0, periodMs = 500, sharedWaitMs = 0, sharedPeriodMs = 500, maxAgeMs = 2_000),
+            { plan },
+            { to, pull, timeoutMs -> asked(id, to, pull, timeoutMs) },
+            clock,
+            { pausedMs -> throw Paused(pausedMs) },
+            Random(id.value.hashCode()),
+        )
+        private val follower = FeedFollower(
+            "test",
+            reader,
+            feed::decode,
+            object : FeedListener<String> {
+                override fun onSnapshot(items: Map<String, String?>, provenAt: ClockReading) {
+                    values.clear()
+                    onChanges(items.toList(), provenAt)
+                }
+
+                override fun onChanges(items: List<Pair<String, String?>>, provenAt: ClockReading) {
+                    values.putAll(items)
+                    this@Instance.provenAt = provenAt
+                }
+
+                override fun onRegained(atMs: Long) {
+                    regained += atMs
+                }
+            },
+        )
+
+        val ageMs: Long? get() = provenAt?.let { clock().longestSince(it) }
+
+        fun run() {
+            // A pause ends the turn; the next turn after it reads on.
+            while (nowMs >= untilMs) {
+                try {
+                    follower.step()
+                } catch (e: Paused) {
+                    untilMs = nowMs + e.pausedMs
+                }
+            }
+        }
+    }
+
+    private class Paused(val pausedMs: Long) : RuntimeException()
+
+    private var nowMs = 10_000L
+    private val store = Store()
+    private val dataCentres = (1..95).associate { InstanceId("entry-$it") to "dc-${it % 5}" }
+    private var plan = ReaderPlan.of(dataCentres)
+    private val instances = dataCentres.mapValues { (id, dataCentre) -> Instance(id, dataCentre) }
+    private val dead = HashSet<InstanceId>()
+    private val readers = instances.values.filter { plan.isReader(it.id) }
+
+    private fun asked(from: InstanceId, to: InstanceId, pull: FeedPull, timeoutMs: Long): FeedAnswer? {
+        check(timeoutMs > 0 && from != to)
+        return if (to in dead) null else instances.getValue(to).cache.answer(pull).getNow(null)
+    }
+
+    private fun play(ms: Long) = repeat((ms / TICK_MS).toInt()) {
+        nowMs += TICK_MS
+        instances.values.filter { it.id !in dead }.forEach { it.run() }
+    }
+
+    private fun put(key: String, value: String?) {
+        store.records += StoredRecord(key, value?.toByteArray())
+    }
+
+    private fun living() = instances.values.filter { it.id !in dead }
+
+    // The load pattern: a calm large fleet. Guards against calls to the store that grow with the instances.
+    @Test
+    fun `a fleet of 95 instances reads the store with its five readers only`() {
+        put("a", "1")
+        play(2_000)
+        val before = store.calls
+        play(20_000)
+        expectThat((store.calls - before) / 20.0).isLessThanOrEqualTo(2.0 * readers.size)
+    }
+
+    @Test
+    fun `a change is known to all within two periods`() {
+        put("a", "1")
+        play(2_000)
+        put("a", "2")
+        put("b", "1")
+        play(1_100)
+        expectThat(living().map { it.values }).all { isEqualTo(hashMapOf("a" to "2", "b" to "1")) }
+        put("b", null)
+        play(1_100)
+        expectThat(living().map { it.values["b"] }).all { isEqualTo(null) }
+    }
+
+    // Guards against keys that are honoured too long or refused needlessly once a reader is lost.
+    @Test
+    fun `when readers die one after the other, no follower's proof gets older than two seconds`() {
+        put("a", "1")
+        play(2_000)
+        for (reader in readers) {
+            dead += reader.id
+            repeat(15) {
+                play(100)
+                expectThat(living().mapNotNull { it.ageMs }.max()).isLessThanOrEqualTo(2_100)
+            }
+        }
+        put("a", "2")
+        play(3_000)
+        expectThat(living().map { it.values["a"] }).all { isEqualTo("2") }
+    }
+
+    @Test
+    fun `instances that the store refuses get proofs and changes through the others`() {
+        put("a", "1")
+        play(2_000)
+        store.refused += readers.take(4).map { it.id }
+        play(3_000)
+        put("a", "2")
+        play(2_500)
+        expectThat(living().map { it.values["a"] }).all { isEqualTo("2") }
+        expectThat(living().mapNotNull { it.ageMs }.max()).isLessThan(2_600)
+    }
+
+    // Guards against a proof that followers give each other in a circle while the store is away.
+    @Test
+    fun `while the store is down proofs grow old everywhere, and few calls are made`() {
+        put("a", "1")
+        play(2_000)
+        store.isDown = true
+        val before = store.calls
+        play(5_000)
+        expectThat(living().mapNotNull { it.ageMs }.min()).isGreaterThan(4_400)
+        expectThat(store.calls - before).isLessThan(dataCentres.size * 5)
+    }
+
+    // Guards against registrations that lapsed in an outage and are dropped by followers, who didn't see the outage.
+    @Test
+    fun `after an outage every instance is told once that the store is back, and has proofs within two seconds`() {
+        put("a", "1")
+        play(2_000)
+        store.isDown = true
+        play(3_000)
+        store.isDown = false
+        val backMs = nowMs
+        put("a", null)
+        play(2_000)
+        expectThat(living().map { it.regained.size }).all { isEqualTo(1) }
+        expectThat(living().mapNotNull { it.ageMs }.max()).isLessThanOrEqualTo(1_100)
+        expectThat(nowMs - backMs).isEqualTo(2_000)
+    }
+
+    @Test
+    fun `an instance that knows nothing of the others reads the store, and one that has missed much gets the newest records`() {
+        put("a", "1")
+        play(2_000)
+        val late = living().first { !plan.isReader(it.id) }
+        dead += late.id
+        repeat(600) { put("k${it % 7}", "$it") }
+        play(1_500)
+        dead -= late.id
+        play(1_500)
+        expectThat(late.values).isEqualTo(living().first { it !== late }.values)
+    }
+
+    // Guards against records that are handed on with an offset that they don't belong to.
+    @Test
+    fun `a cache doesn't answer a question from an offset that it has not reached`() {
+        val cache = FeedCache({ ClockReading(nowMs, nowMs) }) { Executor { } }
+        expectThat(cache.answer(FeedPull("test", 0, 0)).join().nextOffset).isEqualTo(FeedCache.UNKNOWN)
+        cache.take(
+            FeedRead(listOf(StoredRecord("a", byteArrayOf(1))), 4, isSnapshot = true, ClockReading(nowMs, nowMs)),
+            isFirstHand = true,
+        )
+        expectThat(cache.answer(FeedPull("test", 9, 0)).join().nextOffset).isEqualTo(FeedCache.UNKNOWN)
+        expectThat(cache.answer(FeedPull("test", 2, 0)).join().isSnapshot).isTrue()
+        expectThat(cache.answer(FeedPull("test", 4, 0)).join().isSnapshot).isFalse()
+    }
+
+    @Test
+    fun `bytes that are no records are told as such, and so are too many`() {
+        expectThat(decodeFeedRecords(ByteArray(40) { 7 })).isEqualTo(null)
+        val bomb = encodeFeedRecords(listOf(StoredRecord("a", ByteArray(9 shl 20))))
+        expectThat(decodeFeedRecords(bomb)).isEqualTo(null)
+        expectThat(decodeFeedRecords(encodeFeedRecords(listOf(StoredRecord("a", byteArrayOf(3)))))).isNotNull()
+    }
+
+    private companion object {
+        const val TICK_MS = 50L
+    }
+}
