Count reads in their turn, let short streams share fewer engines, model the engines' passes

A trace showed 100 to 190 engines with short streams, of which some 45 were needed, while reads of up to 5 s waited at 50 to 80 others. Short streams filled 0.4 of an engine's slots before one more was shared, and streams beside reads last longer, which spreads the next ones further. Each instance took its own reads to begin at once, so that the work of 95 instances seemed done as many times too fast.

Change: a read counts whole until the reads before it are done; 0.6 of the slots are filled; a long stream that pauses too long counts six short ones, a prompt of 5,000 tokens one; a first event counts as in danger from a fifth of its target on. The placing of work is apart from the sending of it (WorkPlacer), so that the model in the lab plays the product's own rules, tables and exchange of loads: lab burst. Each request selects the others' work once, not once for each upstream.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/PlacementRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/PlacementRule.kt
@@ -137,7 +137,7 @@
 data class PlacementSettings(
     val maxEngines: Int = 17,
     val escapeMs: Double = 150.0,
-    val streamShare: Double = 0.4,
+    val streamShare: Double = 0.6,
     val leastSharing: Int = 4,
     val maxMemoryShare: Double = 0.8,
     val firstMemoryShare: Double = 0.3,
--- a/core/src/main/kotlin/org/godwitwick/core/forward/ReadSplitRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/ReadSplitRule.kt
@@ -81,9 +81,9 @@
  *
  * @property maxEngines most engines that read one prompt: the first and the 16 helpers that the platform allows.
  * @property shortStallMs reading in one pass after which a short stream pauses for too long: its pause of 250 ms less a pass of 55 ms.
- * @property longStallMs the same for long streams, whose pauses may be 600 ms.
+ * @property longStallMs the same for long streams, whose pauses may be 600 ms to 1,000 ms.
  * @property stallSteepness exponent of the chance of a stall below these limits.
- * @property longStreamValue value of a long stream in short requests.
+ * @property longStreamValue value of a long stream in short requests; a late one has taken the reading of its prompt in vain.
  * @property expectedStreams short streams that arrive at a shared engine while it reads.
  * @property strayStreams the same for any other engine.
  * @property tokensPerRequest prompt tokens whose answer is worth as much as a short request.
@@ -96,13 +96,13 @@
 data class ReadSplitSettings(
     val maxEngines: Int = 17,
     val shortStallMs: Double = 195.0,
-    val longStallMs: Double = 500.0,
+    val longStallMs: Double = 700.0,
     val stallSteepness: Double = 5.0,
-    val longStreamValue: Double = 3.0,
+    val longStreamValue: Double = 6.0,
     val expectedStreams: Double = 0.5,
-    val strayStreams: Double = 0.15,
-    val tokensPerRequest: Double = 10_000.0,
-    val safeTargetShare: Double = 0.4,
+    val strayStreams: Double = 0.05,
+    val tokensPerRequest: Double = 5_000.0,
+    val safeTargetShare: Double = 0.2,
     val maxLateness: Double = 1.5,
     val earlinessValue: Double = 0.1,
     val engineCost: Double = 0.01,
--- /dev/null
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardExperimentCommand.kt
@@ -0,0 +1,83 @@
+package org.godwitwick.lab.forward
+
+import org.godwitwick.core.forward.PlacementSettings
+import org.godwitwick.core.forward.ReadSplitSettings
+import picocli.CommandLine
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+import java.util.concurrent.Callable
+import kotlin.math.roundToInt
+
+/** Plays bursts of short and long prompts on model engines of the platform, and prints the credit of each phase. */
+@Command(
+    name = "burst",
+    mixinStandardHelpOptions = true,
+    description = ["Places bursts of short and long prompts on modelled engines in model time."],
+)
+class ForwardExperimentCommand : Callable<Int> {
+    @Option(names = ["--mixes"], split = ",", description = ["Loads to play. Default: \${DEFAULT-VALUE}"])
+    var mixes: List<String> = ForwardMix.NAMES
+
+    @Option(names = ["--seeds"], description = ["Number of seeds. Default: \${DEFAULT-VALUE}"])
+    var seeds: Int = 3
+
+    @Option(names = ["--variants"], split = ",", description = ["Names of variants; all when left out."])
+    var names: List<String> = emptyList()
+
+    override fun call(): Int {
+        val unknown = mixes.firstOrNull { ForwardMix.named(it) == null }
+        if (unknown != null) {
+            System.err.println("lab: no mix is called $unknown; there are ${ForwardMix.NAMES.joinToString()}")
+            return CommandLine.ExitCode.USAGE
+        }
+        println("| mix | variant | utilisation | credit | long burst | short burst | long burst | kinds |")
+        println("| --- | --- | --- | --- | --- | --- | --- | --- |")
+        for (name in mixes) {
+            val mix = checkNotNull(ForwardMix.named(name))
+            VARIANTS.filter { names.isEmpty() || it.name in names }.forEach { println("| $name | ${row(mix, it)} |") }
+        }
+        return CommandLine.ExitCode.OK
+    }
+
+    private fun row(mix: ForwardMix, variant: PlacementVariant): String {
+        val models = (1L..seeds).map { ForwardFleetModel(mix, variant, it) }
+        val requests = models.flatMap { it.run() }
+        val phases = mix.phases.map { phase -> credit(requests.filter { it.arrivedMs / MS_PER_S in phase.fromS..phase.toS }) }
+        val utilisation = percent(models.map { it.utilisation() }.average())
+        return (listOf(variant.name, utilisation, credit(requests)) + phases + kinds(mix, requests)).joinToString(" | ")
+    }
+
+    private fun kinds(mix: ForwardMix, requests: List<ModelRequest>) = mix.kinds.joinToString("; ") { kind ->
+        val of = requests.filter { it.kind == kind }
+        val first = of.map { it.firstEventMs }.filterNot { it.isNaN() }.sorted()
+        val pauses = of.map { it.longestPauseMs }.sorted()
+        "${kind.name} ${credit(
+            of,
+        )}, first ${atShare(first, 0.5)}/${atShare(first, 0.99)} ms, pause ${atShare(pauses, 0.5)}/${atShare(pauses, 0.99)} ms"
+    }
+
+    private fun atShare(sorted: List<Double>, share: Double) = sorted.getOrNull((sorted.size * share).toInt())?.roundToInt()
+
+    private fun credit(requests: List<ModelRequest>): String =
+        percent(requests.sumOf { it.earned } / requests.sumOf { it.kind.worth * it.weight })
+
+    private fun percent(share: Double) = "%.3f".format(share)
+
+    private companion object {
+        const val MS_PER_S = 1e3
+        val VARIANTS = listOf(
+            PlacementVariant("current"),
+            PlacementVariant(
+                "before",
+                PlacementSettings(streamShare = 0.4),
+                ReadSplitSettings(
+                    safeTargetShare = 0.4,
+                    tokensPerRequest = 10_000.0,
+                    longStreamValue = 3.0,
+                    strayStreams = 0.15,
+                    longStallMs = 500.0,
+                ),
+            ),
+        )
+    }
+}
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -49,12 +49,11 @@
         dialect = dialect,
         knowledge = knowledge,
         admission = ForwardAdmission(freshness),
-        placement = PlacementRule(Random.Default),
+        placer = WorkPlacer(PlacementRule(Random.Default), loads, peerLoads, Random.Default, peers.fleet::instanceCount),
         patience = PatienceRule(settings.stallMs),
         client = client,
         reservations = reservations,
         loads = loads,
-        peerLoads = peerLoads,
         budgets = RetryBudgets(
             settings.retryFraction * RETRY_SAFETY,
             { reserveShareOf(settings.retryReserve, peers.fleet.largestCount) },
@@ -62,7 +61,6 @@
         ),
         metrics = ForwardMetrics(metrics.registry),
         random = Random.Default,
-        instanceCount = peers.fleet::instanceCount,
         onLongPlaced = peers::tellSoon,
     )
     private val configFollower = follower(CONFIG_FEED, configFeed, FeedTiming.ofConfig(settings), knowledge.configListener)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/PeerLoads.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/PeerLoads.kt
@@ -9,9 +9,7 @@
 
 /** The work of the other instances, as each last told it, or as collectors told the sums of data centres or of all. */
 class PeerLoads {
-    private class Told(val load: ForwardLoad, val atMs: Long, private val work: Map<Int, UpstreamWork>) {
-        fun agedWork(nowMs: Long): Map<Int, UpstreamWork> = work.mapValues { it.value.agedBy(nowMs - atMs) }
-    }
+    private class Told(val load: ForwardLoad, val atMs: Long, val work: Map<Int, UpstreamWork>)
 
     private val rows = ConcurrentHashMap<InstanceId, Told>()
     private val dataCentreSums = ConcurrentHashMap<String, Told>()
@@ -39,7 +37,7 @@
     /** The work of all others at [nowMs]. What was told more than [MAX_AGE_MS] ago no longer counts. */
     fun at(nowMs: Long): OthersWork {
         val sources = sources(nowMs)
-        return OthersWork(sum(sources.map { it.agedWork(nowMs) }), sources.sumOf { it.load.instances })
+        return OthersWork(sum(sources.map { it.work }), sources.sumOf { it.load.instances })
     }
 
     /** Time since [instance] last told its work, or null when it never did. */
@@ -47,12 +45,12 @@
 
     /** The sums of what was told lately to this collector. */
     fun sums(nowMs: Long): LoadSums {
-        val fresh = rows.filterValues { it.isFresh(nowMs) }.mapValues { it.value.agedWork(nowMs) }
+        val fresh = rows.filterValues { it.isFresh(nowMs) }.mapValues { it.value.work }
         val elsewhere = dataCentreSums.values.filter { it.isFresh(nowMs) }
         return LoadSums(
             near = sum(fresh.values),
             rows = fresh,
-            elsewhere = sum(elsewhere.map { it.agedWork(nowMs) }),
+            elsewhere = sum(elsewhere.map { it.work }),
             instancesElsewhere = elsewhere.sumOf { it.load.instances },
         )
     }
@@ -118,5 +116,3 @@
     parts.forEach { part -> part.forEach { (key, work) -> all.merge(key, work, UpstreamWork::plus) } }
     return all
 }
-
-private fun UpstreamWork.agedBy(ms: Long): UpstreamWork = copy(pendingReadMs = (pendingReadMs - ms).coerceAtLeast(0.0))
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
@@ -1,13 +1,9 @@
 package org.godwitwick.node.forward
 
-import org.godwitwick.core.forward.EngineProfile
 import org.godwitwick.core.forward.ForwardRoute
 import org.godwitwick.core.forward.ForwardService
-import org.godwitwick.core.forward.Placement
-import org.godwitwick.core.forward.PlacementDemand
 import org.godwitwick.core.forward.RouteKind
 import org.godwitwick.core.forward.UpstreamEntry
-import org.godwitwick.core.forward.UpstreamView
 
 /** Places the sends of one request, each elsewhere than the ones before. Used by one thread. */
 class RequestPlacer(private val parts: ForwardParts, private val request: CallerRequest) {
@@ -26,40 +22,9 @@
 
     /** The next placement at the service called [serviceName], or null when there is none. */
     fun place(service: ForwardService?, serviceName: String, route: ForwardRoute): PlacedWork? {
-        val nowMs = Clocks.steadyMs()
         val known = parts.knowledge.upstreams[serviceName].orEmpty().filter { it.address !in avoided }
         val untried = known.filter { it !in tried }.ifEmpty { known }
-        val others = parts.peerLoads.at(nowMs)
-        val views = untried.shuffled(parts.random).map { viewOf(it, others, nowMs) }
-        val placement = placementOf(service?.engine, views, route, parts.knownShare(others)) ?: return null
-        return PlacedWork(placement, readMsOf(service?.engine, placement), heldTokensOf(placement), isShortStream(route))
-    }
-
-    private fun placementOf(
-        engine: EngineProfile?,
-        views: List<UpstreamView>,
-        route: ForwardRoute,
-        knownShare: Double,
-    ): Placement? {
-        val size = request.size
-        if (engine == null || size == null) return parts.placement.place(views)
-        return parts.placement.place(PlacementDemand(size, route.targetMs), engine, views, knownShare)
-    }
-
-    private fun viewOf(entry: UpstreamEntry, others: OthersWork, nowMs: Long): UpstreamView {
-        val work = parts.loads.workAt(entry, nowMs) + others.workAt(entry)
-        return UpstreamView(entry, work, parts.loads.penaltyOf(entry, nowMs))
-    }
-
-    private fun isShortStream(route: ForwardRoute): Boolean = route.kind is RouteKind.Streaming && request.size?.isShort != false
-
-    private fun readMsOf(engine: EngineProfile?, placement: Placement): Double {
-        val tokens = request.size?.promptTokens ?: return 0.0
-        return (engine?.readMs(tokens) ?: 0.0) / (placement.helpers.size + 1)
-    }
-
-    private fun heldTokensOf(placement: Placement): Long {
-        val size = request.size ?: return 0
-        return (size.memoryTokens - placement.helpers.sumOf { it.reservedTokens }).coerceAtLeast(0)
+        val demand = Demand(request.size, route.targetMs, route.kind is RouteKind.Streaming)
+        return parts.placer.place(demand, service?.engine, untried, Clocks.steadyMs())
     }
 }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamLoads.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamLoads.kt
@@ -10,14 +10,31 @@
  *
  * @property readMs reading time of each engine that takes part, in milliseconds.
  * @property heldTokens tokens that the first engine holds.
+ * @property waitMs reading that stands before it at the engines that take part, in milliseconds; zero where it isn't named.
  */
-data class PlacedWork(val placement: Placement, val readMs: Double, val heldTokens: Long, val isShortStream: Boolean)
+data class PlacedWork(
+    val placement: Placement,
+    val readMs: Double,
+    val heldTokens: Long,
+    val isShortStream: Boolean,
+    val waitMs: Map<InstanceId, Double> = emptyMap(),
+)
 
-/** What this instance has sent to each upstream and not seen end. */
+/**
+ * What this instance has sent to each upstream and not seen end.
+ *
+ * Answers bursts of long prompts that many instances place on the same engines: an engine reads them one after the other, so a read
+ * counts whole until those before it are done, whoever sent them. If each instance took its own reads to start at once, the work of a
+ * fleet would seem to be done as many times too fast as there are instances.
+ */
 class UpstreamLoads {
+    /** A read that is expected to begin at [startsMs]. */
+    private class Read(val startsMs: Double, val readMs: Double) {
+        fun leftAt(nowMs: Long): Double = (startsMs + readMs - nowMs).coerceIn(0.0, readMs)
+    }
+
     private class Load(val bornMs: Long?) {
-        // Reads run one after the other, so the time at which the last one ends tells what is pending.
-        var readingUntilMs = 0L
+        val reads = ArrayList<Read>()
         var running = 0
         var shortStreams = 0
         var helping = 0
@@ -25,12 +42,7 @@
         var penaltyMs = 0.0
         var penaltyAtMs = 0L
 
-        fun addReading(readMs: Double, nowMs: Long) {
-            readingUntilMs = maxOf(readingUntilMs, nowMs) + readMs.toLong()
-        }
-
-        fun workAt(nowMs: Long) =
-            UpstreamWork((readingUntilMs - nowMs).coerceAtLeast(0).toDouble(), running, shortStreams, helping, heldTokens)
+        fun workAt(nowMs: Long) = UpstreamWork(reads.sumOf { it.leftAt(nowMs) }, running, shortStreams, helping, heldTokens)
 
         fun penaltyAt(nowMs: Long): Double = penaltyMs * Math.pow(0.5, (nowMs - penaltyAtMs).toDouble() / PENALTY_HALF_LIFE_MS)
     }
@@ -55,21 +67,24 @@
     /** Counts [work] in. */
     @Synchronized
     fun begin(work: PlacedWork, nowMs: Long): WorkInProgress {
-        val first = loadOf(work.placement.upstream)
-        first.running++
-        if (work.isShortStream) first.shortStreams++
-        first.addReading(work.readMs, nowMs)
-        first.heldTokens += work.heldTokens
-        val helpers = work.placement.helpers.map { helper ->
-            val load = loadOf(helper.upstream)
-            load.helping++
-            load.addReading(work.readMs, nowMs)
-            load.heldTokens += helper.reservedTokens
-            load to helper.reservedTokens
-        }
+        val first = member(work.placement.upstream, work, nowMs, work.heldTokens)
+        first.load.running++
+        if (work.isShortStream) first.load.shortStreams++
+        val helpers = work.placement.helpers.map { member(it.upstream, work, nowMs, it.reservedTokens) }
+        helpers.forEach { it.load.helping++ }
         return CountedWork(work, first, helpers)
     }
 
+    private class Member(val load: Load, val read: Read, val heldTokens: Long)
+
+    private fun member(entry: UpstreamEntry, work: PlacedWork, nowMs: Long, heldTokens: Long): Member {
+        val load = loadOf(entry)
+        val read = Read(nowMs + (work.waitMs[entry.id] ?: 0.0), work.readMs)
+        load.reads += read
+        load.heldTokens += heldTokens
+        return Member(load, read, heldTokens)
+    }
+
     /** Notes a failure of [entry] at [nowMs]; the next placements prefer others. */
     @Synchronized
     fun penalise(entry: UpstreamEntry, nowMs: Long) {
@@ -101,27 +116,28 @@
         fun end()
     }
 
-    private inner class CountedWork(
-        private val work: PlacedWork,
-        private val first: Load,
-        private val helpers: List<Pair<Load, Long>>,
-    ) : WorkInProgress {
+    private inner class CountedWork(private val work: PlacedWork, private val first: Member, private val helpers: List<Member>) :
+        WorkInProgress {
         private var isReading = true
         private var isEnded = false
 
         override fun readingEnded() = synchronized(this@UpstreamLoads) {
-            if (isReading) helpers.forEach { (load, _) -> load.helping-- }
+            if (!isReading) return@synchronized
             isReading = false
+            first.load.reads -= first.read
+            helpers.forEach {
+                it.load.reads -= it.read
+                it.load.helping--
+            }
         }
 
         override fun end() = synchronized(this@UpstreamLoads) {
             if (isEnded) return@synchronized
             isEnded = true
             readingEnded()
-            first.running--
-            if (work.isShortStream) first.shortStreams--
-            first.heldTokens -= work.heldTokens
-            helpers.forEach { (load, tokens) -> load.heldTokens -= tokens }
+            first.load.running--
+            if (work.isShortStream) first.load.shortStreams--
+            (helpers + first).forEach { it.load.heldTokens -= it.heldTokens }
         }
     }
 
