--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/PassEngine.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/PassEngine.kt
@@ -55,16 +55,23 @@
     /** Weight of the request among those of its kind; longer prompts weigh more. */
     val weight: Double get() = minOf(FIXED_WEIGHT + (1 - FIXED_WEIGHT) * promptTokens / kind.promptTokens, MOST_WEIGHT)
 
+    // Callers leave a stream that is silent for too long; the model goes on with it, as an engine does for a while.
+    private val isLeft: Boolean
+        get() = maxOf(firstEventMs, longestPauseMs) > maxOf(LEAST_PATIENCE_MS, kind.targetMs * PATIENCE_TARGETS, kind.pauseTargetMs * PATIENCE_PAUSES)
+
     /** Credit: the worth of an answer in time, less of a late one, nothing of one that never ended. */
     val earned: Double
         get() = when {
-            eventsLeft > 0 -> 0.0
+            eventsLeft > 0 || isLeft -> 0.0
             firstEventMs <= kind.targetMs && longestPauseMs <= kind.pauseTargetMs -> kind.worth * weight
             else -> kind.lateWorth * weight
         }
 
     private companion object {
         const val FIXED_WEIGHT = 0.3
+        const val LEAST_PATIENCE_MS = 2_000.0
+        const val PATIENCE_TARGETS = 4.0
+        const val PATIENCE_PAUSES = 8.0
         const val MOST_WEIGHT = 4.0
     }
 }
