Bound received bytes only where the client says what it uses

Under TLS the HTTP client reads through a socket of its own, so the one below would have failed after 512 KiB in all.

--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/PassEngine.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/PassEngine.kt
@@ -57,7 +57,8 @@
 
     // Callers leave a stream that is silent for too long; the model goes on with it, as an engine does for a while.
     private val isLeft: Boolean
-        get() = maxOf(firstEventMs, longestPauseMs) > maxOf(LEAST_PATIENCE_MS, kind.targetMs * PATIENCE_TARGETS, kind.pauseTargetMs * PATIENCE_PAUSES)
+        get() = maxOf(firstEventMs, longestPauseMs) >
+            maxOf(LEAST_PATIENCE_MS, kind.targetMs * PATIENCE_TARGETS, kind.pauseTargetMs * PATIENCE_PAUSES)
 
     /** Credit: the worth of an answer in time, less of a late one, nothing of one that never ended. */
     val earned: Double
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/ReceiveLimit.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ReceiveLimit.kt
@@ -19,11 +19,14 @@
  * only; it would collect the others until the memory is used up.
  */
 internal class LimitedSocket : Socket() {
+    // Under TLS the client reads through another socket and never tells this one what was used, so nothing is bounded there.
+    private var isBounded = false
     private var unusedBytes = 0L
     private val input by lazy { LimitedInput(super.getInputStream()) }
 
     /** Notes that the bytes so far were an answer's. */
     fun used() {
+        isBounded = true
         unusedBytes = 0
     }
 
@@ -40,7 +43,11 @@
 
         private fun counted(bytes: Int) {
             unusedBytes += bytes.coerceAtLeast(0)
-            if (unusedBytes > MAX_UNUSED_BYTES) throw IOException("the server sent $unusedBytes bytes that are no answer")
+            if (isBounded &&
+                unusedBytes > MAX_UNUSED_BYTES
+            ) {
+                throw IOException("the server sent $unusedBytes bytes that are no answer")
+            }
         }
     }
 
