Say once what stood twice; take repeated work off the exchange of loads and the readers

- Twice: the bound of a small fleet stood in ReaderPlan and LoadExchangePlan; the settings of before in the lab's command and its test; the engines of one owner, the phases and the slots in each mix.
Each stands once now.
- Needless: a model request's copies of its arrival, a list of ended requests that nobody read, times that callbacks didn't use, a choice of phases that was always the same.
- Repeated: a reader packed the same records anew for each follower that waited; a collector added up all work anew for each receiver; each placement noted the waiting of every engine instead of those that take part.
- An inflater's memory was left to the garbage collector; it is freed with its source now.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/FeedSource.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/FeedSource.kt
@@ -53,7 +53,7 @@
     /** Notes at [nowMs] that [reader] did not answer. */
     fun onSilent(reader: InstanceId, nowMs: Long) = avoid(reader, nowMs + SILENT_AVOID_MS)
 
-    /** Notes at [nowMs] that the store answered this instance. */
+    /** Notes that the store answered this instance. */
     fun onStoreAnswered() {
         storeFromMs = Long.MIN_VALUE
     }
--- a/core/src/main/kotlin/org/godwitwick/core/forward/FleetSize.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/FleetSize.kt
@@ -37,6 +37,9 @@
     return reserve / maxOf(SMALLEST_DIVISOR, largestFleet * RESERVE_DIVISOR)
 }
 
+/** Largest fleet whose instances all read the store and tell each other directly: 60 messages a second for each of them. */
+internal const val SMALL_FLEET_INSTANCES = 12
+
 /** Repeats of an instance that knows nothing of the others: fleets have fewer instances than their reserve has repeats. */
 private const val UNKNOWN_FLEET_RESERVE = 1
 
--- a/core/src/main/kotlin/org/godwitwick/core/forward/LoadExchangePlan.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/LoadExchangePlan.kt
@@ -39,20 +39,11 @@
     companion object {
         /** The plan of [instances] and their data centres; all that know the same instances make the same plan. */
         fun of(instances: Map<InstanceId, String>): LoadExchangePlan {
-            val isDirect = instances.size <= DIRECT_INSTANCES
             val byDataCentre = instances.entries.groupBy({ it.value }, { it.key })
-            val collectors = if (isDirect) {
-                byDataCentre
-            } else {
-                byDataCentre.mapValues {
-                    rendezvousLowest("loads", it.value, COLLECTORS)
-                }
-            }
-            return LoadExchangePlan(collectors, isDirect)
+            if (instances.size <= SMALL_FLEET_INSTANCES) return LoadExchangePlan(byDataCentre, isDirect = true)
+            return LoadExchangePlan(byDataCentre.mapValues { rendezvousLowest("loads", it.value, COLLECTORS) }, isDirect = false)
         }
 
-        /** Largest fleet whose instances tell each other directly: 60 messages a second for each of them. */
-        private const val DIRECT_INSTANCES = 12
         private const val COLLECTORS = 2
 
         /** Several periods of the sums. */
--- a/core/src/main/kotlin/org/godwitwick/core/forward/ReaderPlan.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/ReaderPlan.kt
@@ -30,15 +30,12 @@
     companion object {
         /** The plan for [instances] and their data centres; all that know the same instances make the same plan. */
         fun of(instances: Map<InstanceId, String>): ReaderPlan {
-            if (instances.size <= DIRECT_INSTANCES) return ReaderPlan(emptyMap())
+            if (instances.size <= SMALL_FLEET_INSTANCES) return ReaderPlan(emptyMap())
             val byDataCentre = instances.entries.groupBy({ it.value }, { it.key })
             val each = ceil(LEAST_READERS.toDouble() / byDataCentre.size).toInt()
             return ReaderPlan(byDataCentre.mapValues { (_, ids) -> rendezvousLowest("reader", ids, each) })
         }
 
-        /** Largest fleet whose instances all read for themselves. */
-        const val DIRECT_INSTANCES = 12
-
         /** Two readers may be lost at the same moment. */
         private const val LEAST_READERS = 3
     }
--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardExperimentCommand.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardExperimentCommand.kt
@@ -1,7 +1,5 @@
 package org.godwitwick.lab.forward
 
-import org.godwitwick.core.forward.PlacementSettings
-import org.godwitwick.core.forward.ReadSplitSettings
 import picocli.CommandLine
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
@@ -65,19 +63,6 @@
 
     private companion object {
         const val MS_PER_S = 1e3
-        val VARIANTS = listOf(
-            PlacementVariant("current"),
-            PlacementVariant(
-                "before",
-                PlacementSettings(streamShare = 0.4),
-                ReadSplitSettings(
-                    safeTargetShare = 0.4,
-                    tokensPerRequest = 10_000.0,
-                    longStreamValue = 3.0,
-                    strayStreams = 0.15,
-                    longStallMs = 500.0,
-                ),
-            ),
-        )
+        val VARIANTS = listOf(PlacementVariant.CURRENT, PlacementVariant.BEFORE)
     }
 }
--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
@@ -22,7 +22,25 @@
     val name: String,
     val placement: PlacementSettings = PlacementSettings(),
     val split: ReadSplitSettings = ReadSplitSettings(),
-)
+) {
+    companion object {
+        /** The settings that the product uses. */
+        val CURRENT = PlacementVariant("current")
+
+        /** The settings that the product used before long bursts were modelled. */
+        val BEFORE = PlacementVariant(
+            "before",
+            PlacementSettings(streamShare = 0.4),
+            ReadSplitSettings(
+                safeTargetShare = 0.4,
+                tokensPerRequest = 10_000.0,
+                longStreamValue = 3.0,
+                strayStreams = 0.15,
+                longStallMs = 500.0,
+            ),
+        )
+    }
+}
 
 /**
  * Instances that place a [mix] on model engines with the product's own rules, each knowing what the others sent with the delay of the
@@ -50,15 +68,20 @@
     private var order = 0L
     private var nowMs = 0.0
     private val engines = (1..mix.engines).associate { i ->
-        val entry = UpstreamEntry(InstanceId("engine-$i"), "llm", "engine-$i:1", "dc", mix.slots, isLeaving = false, bornMs = 1)
+        val entry =
+            UpstreamEntry(
+                InstanceId("engine-$i"),
+                "llm",
+                "engine-$i:1",
+                "dc",
+                mix.speed.profile.slots,
+                isLeaving = false,
+                bornMs = 1,
+            )
         entry to
-            PassEngine(mix.speed, mix.slots, ::at, { request, _ -> progress.getValue(request).readingEnded() }) { request, _ ->
-                progress.remove(request)?.end()
-                done += request
-            }
+            PassEngine(mix.speed, ::at, { progress.getValue(it).readingEnded() }) { progress.remove(it)?.end() }
     }
     private val progress = HashMap<ModelRequest, UpstreamLoads.WorkInProgress>()
-    private val done = ArrayList<ModelRequest>()
     private val instances = ArrayList<Instance>().apply { repeat(mix.instances) { add(Instance(it, variant, seed)) } }
     private val byId = instances.associateBy { it.registered.id }
     private val othersOf = instances.associateWith { self -> instances.filter { it !== self }.map { it.registered } }
@@ -96,17 +119,10 @@
         val size = RequestSize(arrival.promptTokens, arrival.events.toLong() * mix.speed.stride)
         val demand = Demand(size, arrival.kind.targetMs, isStreaming = true)
         val work = instance.placer.place(demand, mix.speed.profile, engines.keys.toList(), nowMs.toLong())
-            ?: return ModelRequest(
-                arrival.kind,
-                arrival.promptTokens,
-                arrival.events,
-                arrival.atMs,
-                engines.values.first(),
-                partCount = 0,
-            )
+            ?: return ModelRequest(arrival, engines.values.first(), partCount = 0)
         val helpers = work.placement.helpers.map { engines.getValue(it.upstream) }
         val first = engines.getValue(work.placement.upstream)
-        val request = ModelRequest(arrival.kind, arrival.promptTokens, arrival.events, arrival.atMs, first, helpers.size + 1)
+        val request = ModelRequest(arrival, first, helpers.size + 1)
         progress[request] = instance.loads.begin(work, nowMs.toLong())
         if (!size.isShort) at(nowMs + TELL_MS) { instance.exchange.tellNow(it.toLong(), it.toLong()) }
         first.accept(request, helpers.size + 1, nowMs)
--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardMix.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardMix.kt
@@ -36,12 +36,10 @@
  * A load on a fleet of engines.
  *
  * @property instances entry instances that place it.
- * @property slots requests that an engine runs at once.
  */
 data class ForwardMix(
     val engines: Int,
     val instances: Int,
-    val slots: Int,
     val speed: PassSpeed,
     val kinds: List<MixKind>,
     val phases: List<MixPhase>,
@@ -90,50 +88,51 @@
         private const val LARGE_ENGINES = 195
         private const val SMALL_ENGINES = 35
 
-        /** In turn, long prompts come at almost three times their usual rate, then short ones do. */
-        private fun phases(firstIsLong: Boolean): List<MixPhase> {
-            val long = listOf(0.37, 1.3, 2.8)
-            val short = listOf(2.5, 0.5, 0.05)
-            val factors = if (firstIsLong) listOf(long, short, long) else listOf(short, long, short)
-            return listOf(1.9 to 11.4, 12.0 to 21.5, 23.0 to 32.5).zip(factors) { (from, to), each -> MixPhase(from, to, each) }
+        private const val SECONDS = 34.0
+
+        private val LONG_BURST = listOf(0.37, 1.3, 2.8)
+        private val SHORT_BURST = listOf(2.5, 0.5, 0.05)
+
+        /** Long prompts come at almost three times their usual rate, then short ones, then long ones again. */
+        private val PHASES =
+            listOf(MixPhase(1.9, 11.4, LONG_BURST), MixPhase(12.0, 21.5, SHORT_BURST), MixPhase(23.0, 32.5, LONG_BURST))
+
+        /** The speed of Sfax Kasher Labs' engines with [slots], whose events hold [stride] tokens. */
+        private fun kasherSpeed(slots: Int, stride: Int): PassSpeed {
+            val profile = EngineProfile(slots, memoryTokens = 232_000, readTokensPerMs = 206.0, pairsMsPerMillion = 0.138)
+            return PassSpeed(profile, 1.02, 0.00226, 0.00431, chunkTokens = 2_048, stride)
         }
 
         /** Sfax Kasher Labs' hundreds of instances, with [engines] of its 195 engines and the rates that go with them. */
         private fun large(engines: Int): ForwardMix {
             val share = engines.toDouble() / LARGE_ENGINES
-            val profile = EngineProfile(slots = 7, memoryTokens = 232_000, readTokensPerMs = 206.0, pairsMsPerMillion = 0.138)
             return ForwardMix(
                 engines,
                 instances = engines / 2,
-                slots = 7,
-                PassSpeed(profile, 1.02, 0.00226, 0.00431, chunkTokens = 2_048, stride = 68),
+                kasherSpeed(slots = 7, stride = 68),
                 listOf(
                     MixKind("short", 193 * share, 4_960.0, 0.9, 23_800.0, 22.6, 409, 250, 1.3, 0.33),
                     MixKind("medium", 15.3 * share, 45_000.0, 0.5, 110_000.0, 13.6, 1_514, 600, 2.9, 0.73),
                     MixKind("long", 7.28 * share, 190_000.0, 0.55, 600_000.0, 11.3, 3_024, 1_000, 18.0, 4.5),
                 ),
-                phases(firstIsLong = true),
-                seconds = 34.0,
+                PHASES,
+                SECONDS,
             )
         }
 
         /** Sfax Kasher Labs' first deployment. */
-        private fun kasher(): ForwardMix {
-            val profile = EngineProfile(slots = 11, memoryTokens = 232_000, readTokensPerMs = 206.0, pairsMsPerMillion = 0.138)
-            return ForwardMix(
-                engines = 23,
-                instances = 6,
-                slots = 11,
-                PassSpeed(profile, 1.02, 0.00226, 0.00431, chunkTokens = 2_048, stride = 43),
-                listOf(
-                    MixKind("short", 34.2, 4_960.0, 0.9, 23_800.0, 32.0, 300, 250, 1.3, 0.33),
-                    MixKind("medium", 1.87, 45_000.0, 0.5, 110_000.0, 19.0, 1_500, 600, 3.9, 0.98),
-                    MixKind("long", 1.57, 133_000.0, 0.55, 600_000.0, 16.0, 2_500, 1_000, 15.0, 3.7),
-                ),
-                phases(firstIsLong = true),
-                seconds = 34.0,
-            )
-        }
+        private fun kasher(): ForwardMix = ForwardMix(
+            engines = 23,
+            instances = 6,
+            kasherSpeed(slots = 11, stride = 43),
+            listOf(
+                MixKind("short", 34.2, 4_960.0, 0.9, 23_800.0, 32.0, 300, 250, 1.3, 0.33),
+                MixKind("medium", 1.87, 45_000.0, 0.5, 110_000.0, 19.0, 1_500, 600, 3.9, 0.98),
+                MixKind("long", 1.57, 133_000.0, 0.55, 600_000.0, 16.0, 2_500, 1_000, 15.0, 3.7),
+            ),
+            PHASES,
+            SECONDS,
+        )
 
         /** Pindan's first deployment. */
         private fun pindan(): ForwardMix {
@@ -141,15 +140,14 @@
             return ForwardMix(
                 engines = 18,
                 instances = 9,
-                slots = 11,
                 PassSpeed(profile, 0.925, 0.00483, 0.00254, chunkTokens = 2_048, stride = 46),
                 listOf(
                     MixKind("short", 27.7, 4_960.0, 0.9, 23_800.0, 34.9, 300, 200, 1.3, 0.33),
                     MixKind("medium", 2.01, 45_000.0, 0.5, 110_000.0, 20.9, 1_500, 500, 3.1, 0.79),
                     MixKind("long", 0.833, 210_000.0, 0.55, 1_000_000.0, 17.4, 3_000, 800, 22.0, 5.4),
                 ),
-                phases(firstIsLong = true),
-                seconds = 34.0,
+                PHASES,
+                SECONDS,
             )
         }
     }
--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/PassEngine.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/PassEngine.kt
@@ -21,16 +21,12 @@
 )
 
 /** One request on the model engines. Times are in model milliseconds. */
-class ModelRequest(
-    val kind: MixKind,
-    val promptTokens: Long,
-    val events: Int,
-    val arrivedMs: Double,
-    val resident: PassEngine,
-    partCount: Int,
-) {
+class ModelRequest(arrival: MixArrival, internal val resident: PassEngine, partCount: Int) {
+    val kind: MixKind = arrival.kind
+    val promptTokens: Long = arrival.promptTokens
+    val arrivedMs: Double = arrival.atMs
     internal var partsLeft = partCount
-    internal var eventsLeft = events
+    internal var eventsLeft = arrival.events
     internal var lastEventMs = Double.NaN
 
     /** Time from the arrival to the first event, or NaN before. */
@@ -85,10 +81,9 @@
  */
 class PassEngine(
     private val speed: PassSpeed,
-    private val slots: Int,
     private val at: (timeMs: Double, action: (nowMs: Double) -> Unit) -> Unit,
-    private val onRead: (ModelRequest, Double) -> Unit,
-    private val onEnd: (ModelRequest, Double) -> Unit,
+    private val onRead: (ModelRequest) -> Unit,
+    private val onEnd: (ModelRequest) -> Unit,
 ) {
     private class Part(val request: ModelRequest, val isHelp: Boolean, var tokensLeft: Double, val msPerToken: Double)
 
@@ -128,7 +123,7 @@
     }
 
     private fun pass(nowMs: Double) {
-        while (running.size < slots && waiting.isNotEmpty()) running += waiting.removeFirst()
+        while (running.size < speed.profile.slots && waiting.isNotEmpty()) running += waiting.removeFirst()
         val readable = parts.filter { it.isHelp || it.request in running }
         if (readable.isEmpty() && writers.isEmpty()) {
             isBusy = false
@@ -168,7 +163,7 @@
 
     private fun onPartRead(request: ModelRequest, nowMs: Double) {
         if (--request.partsLeft > 0) return
-        onRead(request, nowMs)
+        onRead(request)
         request.resident.startWriting(request, nowMs)
     }
 
@@ -183,7 +178,7 @@
         if (request.eventsLeft > 0) return
         writers -= request
         running -= request
-        onEnd(request, nowMs)
+        onEnd(request)
     }
 
     private companion object {
--- a/lab/src/test/kotlin/org/godwitwick/lab/forward/ForwardFleetModelTest.kt
+++ b/lab/src/test/kotlin/org/godwitwick/lab/forward/ForwardFleetModelTest.kt
@@ -1,7 +1,5 @@
 package org.godwitwick.lab.forward
 
-import org.godwitwick.core.forward.PlacementSettings
-import org.godwitwick.core.forward.ReadSplitSettings
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
@@ -12,23 +10,7 @@
 
 /** Replays the load pattern of every standard day with bursts: long prompts at almost three times their rate, short ones, long ones. */
 class ForwardFleetModelTest {
-    private val landedBefore = PlacementVariant(
-        "before",
-        PlacementSettings(streamShare = 0.4),
-        ReadSplitSettings(
-            safeTargetShare = 0.4,
-            tokensPerRequest = 10_000.0,
-            longStreamValue = 3.0,
-            strayStreams = 0.15,
-            longStallMs = 500.0,
-        ),
-    )
-
-    private fun play(
-        mixName: String,
-        variant: PlacementVariant = PlacementVariant("current"),
-        seed: Long = 1,
-    ): List<ModelRequest> {
+    private fun play(mixName: String, variant: PlacementVariant = PlacementVariant.CURRENT, seed: Long = 1): List<ModelRequest> {
         val mix = checkNotNull(ForwardMix.named(mixName))
         return ForwardFleetModel(mix, variant, seed).run()
     }
@@ -53,7 +35,7 @@
 
     @Test
     fun `the rules of before lose a burst of long prompts that follows one of short prompts`() {
-        val before = play("large", landedBefore)
+        val before = play("large", PlacementVariant.BEFORE)
         expectThat(worstBurst("large", play("large"))).isGreaterThan(worstBurst("large", before))
         expectThat(worstBurst("large", before)).isLessThan(0.7)
     }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/FeedCache.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FeedCache.kt
@@ -19,6 +19,9 @@
     private val clock: () -> ClockReading,
     private val later: (delayMs: Long) -> Executor = { CompletableFuture.delayedExecutor(it, TimeUnit.MILLISECONDS) },
 ) {
+    /** What is known from one offset on, ready to be sent. */
+    private class Packed(val records: ByteArray, val isSnapshot: Boolean, val nextOffset: Long, val provenAt: ClockReading)
+
     private class Waiting(val pull: FeedPull, val askedAt: ClockReading, val answer: CompletableFuture<FeedAnswer>)
 
     // In the order of their last change; a removed key stays in the recent records only.
@@ -39,7 +42,9 @@
             this.isFirstHand = isFirstHand
             read.regainedAtMs?.let { regainedAtMs = it }
             if (read.records.isEmpty() && read.regainedAtMs == null && !read.isSnapshot) return
-            waiting.map { it.answer to answerTo(it.pull, it.askedAt) }.also { waiting.clear() }
+            // Followers that wait are all at the same offset, so their records are packed once.
+            val packed = waiting.firstOrNull()?.let { packedFrom(it.pull.fromOffset) }
+            waiting.map { it.answer to answerTo(it, packed) }.also { waiting.clear() }
         }
         answers.forEach { (future, answer) -> future.complete(answer) }
     }
@@ -65,37 +70,40 @@
     fun answer(pull: FeedPull): CompletableFuture<FeedAnswer> = synchronized(this) {
         val askedAt = clock()
         val mayWait = pull.holdMs > 0 && nextOffset == pull.fromOffset
-        if (!mayWait) return CompletableFuture.completedFuture(answerTo(pull, askedAt))
         val waiter = Waiting(pull, askedAt, CompletableFuture())
+        if (!mayWait) return CompletableFuture.completedFuture(answerTo(waiter, packedFrom(pull.fromOffset)))
         waiting += waiter
         later(pull.holdMs.coerceAtMost(MAX_HOLD_MS)).execute { release(waiter) }
         waiter.answer
     }
 
     private fun release(waiter: Waiting) {
-        val answer = synchronized(this) { if (waiting.remove(waiter)) answerTo(waiter.pull, waiter.askedAt) else null }
+        val answer =
+            synchronized(this) { if (waiting.remove(waiter)) answerTo(waiter, packedFrom(waiter.pull.fromOffset)) else null }
         answer?.let(waiter.answer::complete)
     }
 
-    private fun answerTo(pull: FeedPull, askedAt: ClockReading): FeedAnswer {
-        val next = nextOffset
-        val proven = provenAt
-        if (next == null || proven == null ||
-            pull.fromOffset > next
-        ) {
-            return FeedAnswer(ByteArray(0), false, UNKNOWN, 0, isFirstHand = false)
-        }
-        val missing = next - pull.fromOffset
+    // Null when this instance doesn't know the feed up to that offset.
+    private fun packedFrom(fromOffset: Long): Packed? {
+        val next = nextOffset?.takeIf { fromOffset <= it } ?: return null
+        val proven = provenAt ?: return null
+        val missing = next - fromOffset
         // Offsets have no gaps, but a snapshot isn't followed by the records that led to it.
-        val isSnapshot = pull.fromOffset < 0 || missing > recent.size
+        val isSnapshot = fromOffset < 0 || missing > recent.size
         val records = if (isSnapshot) newest.values.toList() else recent.takeLast(missing.toInt())
+        return Packed(encodeFeedRecords(records), isSnapshot, next, proven)
+    }
+
+    private fun answerTo(waiter: Waiting, packed: Packed?): FeedAnswer {
+        if (packed == null) return FeedAnswer(ByteArray(0), isSnapshot = false, UNKNOWN, 0, isFirstHand = false)
+        val regainedLeadMs = regainedAtMs?.let { it - waiter.askedAt.steadyMs }
         return FeedAnswer(
-            encodeFeedRecords(records),
-            isSnapshot,
-            next,
-            FeedProof.leadMs(proven, askedAt),
+            packed.records,
+            packed.isSnapshot,
+            packed.nextOffset,
+            FeedProof.leadMs(packed.provenAt, waiter.askedAt),
             isFirstHand,
-            regainedAtMs?.let { it - askedAt.steadyMs }?.takeIf { it > -UpstreamDirectory.LAPSE_GRACE_MS },
+            regainedLeadMs?.takeIf { it > -UpstreamDirectory.LAPSE_GRACE_MS },
         )
     }
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/FeedRecordsCodec.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FeedRecordsCodec.kt
@@ -28,9 +28,12 @@
 internal fun decodeFeedRecords(bytes: ByteArray): List<StoredRecord>? {
     if (bytes.isEmpty()) return emptyList()
     return try {
-        val source = InflaterSource(Buffer().write(bytes), Inflater()).buffer()
-        if (source.request(MAX_UNPACKED_BYTES + 1)) return null
-        val wire = peerCbor.decodeFromByteArray(FeedRecords.serializer(), source.readByteArray())
+        // Closing the source frees the memory of the inflater, which is outside the heap.
+        val unpacked = InflaterSource(Buffer().write(bytes), Inflater()).buffer().use { source ->
+            if (source.request(MAX_UNPACKED_BYTES + 1)) return null
+            source.readByteArray()
+        }
+        val wire = peerCbor.decodeFromByteArray(FeedRecords.serializer(), unpacked)
         if (wire.keys.size != wire.values.size) return null
         wire.keys.zip(wire.values) { key, value -> StoredRecord(key, value.takeIf { it.isNotEmpty() }) }
     } catch (_: IOException) {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/LoadExchange.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/LoadExchange.kt
@@ -48,11 +48,11 @@
     }
 
     private fun tellSums(own: Map<Int, UpstreamWork>, nowMs: Long, wallMs: Long) {
-        val sums = peerLoads.sums(nowMs)
-        val message = sums.ofDataCentre(self.dataCentre, own, wallMs)
+        val sums = peerLoads.sums(own, nowMs)
+        val message = sums.ofDataCentre(self.dataCentre, wallMs)
         plan.collectorsElsewhere(self.dataCentre).forEach { send(it, message) }
         val near = plan.collectorsOf(self.dataCentre)
-        others.forEach { if (it.dataCentre == self.dataCentre && it.id !in near) send(it.id, sums.without(it.id, own, wallMs)) }
+        others.forEach { if (it.dataCentre == self.dataCentre && it.id !in near) send(it.id, sums.without(it.id, wallMs)) }
     }
 
     private companion object {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/PeerLoads.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/PeerLoads.kt
@@ -23,15 +23,7 @@
     }
 
     private fun <K : Any> ConcurrentHashMap<K, Told>.keep(key: K, load: ForwardLoad, nowMs: Long) {
-        compute(key) { _, last ->
-            if (last != null &&
-                last.load.isNewerThan(load)
-            ) {
-                last
-            } else {
-                Told(load, nowMs, load.byUpstream())
-            }
-        }
+        compute(key) { _, last -> last?.takeIf { it.load.isNewerThan(load) } ?: Told(load, nowMs, load.byUpstream()) }
     }
 
     /** The work of all others at [nowMs]. What was told more than [MAX_AGE_MS] ago no longer counts. */
@@ -43,12 +35,12 @@
     /** Time since [instance] last told its work, or null when it never did. */
     fun silentMs(instance: InstanceId, nowMs: Long): Long? = rows[instance]?.let { nowMs - it.atMs }
 
-    /** The sums of what was told lately to this collector. */
-    fun sums(nowMs: Long): LoadSums {
+    /** The sums of what was told lately to this collector, and of its [own] work. */
+    fun sums(own: Map<Int, UpstreamWork>, nowMs: Long): LoadSums {
         val fresh = rows.filterValues { it.isFresh(nowMs) }.mapValues { it.value.work }
         val elsewhere = dataCentreSums.values.filter { it.isFresh(nowMs) }
         return LoadSums(
-            near = sum(fresh.values),
+            near = sum(fresh.values + own),
             rows = fresh,
             elsewhere = sum(elsewhere.map { it.work }),
             instancesElsewhere = elsewhere.sumOf { it.load.instances },
@@ -88,8 +80,8 @@
 /**
  * The work that a collector knows, by the key of the upstream.
  *
- * @property near that of the other instances of its data centre.
- * @property rows the same for each instance.
+ * @property near that of its data centre, its own included.
+ * @property rows that of each other instance of its data centre.
  * @property elsewhere that of the other data centres.
  */
 class LoadSums(
@@ -98,13 +90,15 @@
     private val elsewhere: Map<Int, UpstreamWork>,
     private val instancesElsewhere: Int,
 ) {
-    /** The message for collectors elsewhere: the work of [dataCentre], the collector's [own] included. */
-    fun ofDataCentre(dataCentre: String, own: Map<Int, UpstreamWork>, wallMs: Long): ForwardLoad =
-        ForwardLoad.of(sum(listOf(near, own)), wallMs, rows.size + 1, LoadScope.DATA_CENTRE, dataCentre)
+    private val whole = sum(listOf(near, elsewhere))
+
+    /** The message for collectors elsewhere: the work of [dataCentre]. */
+    fun ofDataCentre(dataCentre: String, wallMs: Long): ForwardLoad =
+        ForwardLoad.of(near, wallMs, rows.size + 1, LoadScope.DATA_CENTRE, dataCentre)
 
     /** The message for [receiver], an instance of this data centre: the work of all others, without the receiver's. */
-    fun without(receiver: InstanceId, own: Map<Int, UpstreamWork>, wallMs: Long): ForwardLoad {
-        val all = sum(listOf(near, own, elsewhere))
+    fun without(receiver: InstanceId, wallMs: Long): ForwardLoad {
+        val all = HashMap(whole)
         rows[receiver]?.forEach { (key, told) -> all.computeIfPresent(key) { _, work -> work - told } }
         val instances = rows.keys.count { it != receiver } + 1 + instancesElsewhere
         return ForwardLoad.of(all, wallMs, instances, LoadScope.FLEET)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
@@ -35,7 +35,8 @@
         val views = candidates.shuffled(random).map { viewOf(it, others, nowMs) }
         val placement = placementOf(demand, engine, views, knownShare(others)) ?: return null
         val isShortStream = demand.isStreaming && demand.size?.isShort != false
-        val waitMs = views.associate { it.entry.id to it.work.pendingReadMs }
+        val members = placement.helpers.mapTo(hashSetOf(placement.upstream.id)) { it.upstream.id }
+        val waitMs = views.filter { it.entry.id in members }.associate { it.entry.id to it.work.pendingReadMs }
         return PlacedWork(placement, readMsOf(demand, engine, placement), heldTokensOf(demand, placement), isShortStream, waitMs)
     }
 
