Do not take an engine that prefills for lost

Cause: in bursts of long prompts an engine sends no events for 2 to 3 s while it prefills. Two prompts of 620,164 and 821,506 tokens within a second caused 160 of the cancellations.

Change: time in which an engine is known to prefill does not count as silence (SilenceTimer), and a send is cancelled only after its retry was reserved. The model of a fleet gets callers that leave, the silence timeout and cancelled work.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/StreamTimeoutRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/StreamTimeoutRule.kt
@@ -4,11 +4,11 @@
  * Computes how long an upstream may send nothing before its stream is continued on another upstream.
  *
  * Callers abandon a silent stream after a few times the targets, so the switch has to happen earlier. The timeout is longer than
- * [stallMs], because a working upstream may be silent for up to that time: during the prefill of a long prompt, or after the loss
- * of a helper, which it then reports itself. There is no timeout (null) on the last upstream that the route allows, because no
+ * [stallMs], because an upstream that lost a helper is silent for that time and then reports the loss itself. Time in which the
+ * upstream is known to prefill does not count, see [SilenceTimer]. There is no timeout (null) on the last upstream that the route allows, because no
  * other upstream could continue the stream.
  *
- * @property stallMs longest silence of a working upstream, in milliseconds.
+ * @property stallMs longest silence of an upstream that lost a helper, in milliseconds.
  */
 class StreamTimeoutRule(private val stallMs: Long) {
     /**
--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardExperimentCommand.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardExperimentCommand.kt
@@ -28,8 +28,8 @@
             System.err.println("lab: unknown mix $unknown; known mixes: ${ForwardMix.NAMES.joinToString()}")
             return CommandLine.ExitCode.USAGE
         }
-        println("| mix | variant | utilisation | credit | long burst | short burst | long burst | kinds |")
-        println("| --- | --- | --- | --- | --- | --- | --- | --- |")
+        println("| mix | variant | utilisation | prefilled | credit | long burst | short burst | long burst | kinds |")
+        println("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
         for (name in mixes) {
             val mix = checkNotNull(ForwardMix.byName(name))
             VARIANTS.filter { names.isEmpty() || it.name in names }.forEach { println("| $name | ${row(mix, it)} |") }
@@ -42,7 +42,15 @@
         val requests = models.flatMap { it.run() }
         val phases = mix.phases.map { phase -> credit(requests.filter { it.arrivedMs / MS_PER_S in phase.fromS..phase.toS }) }
         val utilisation = percent(models.map { it.utilisation() }.average())
-        return (listOf(variant.name, utilisation, credit(requests)) + phases + kinds(mix, requests)).joinToString(" | ")
+        val prefilled = percent(models.map { it.prefillOverhead() }.average())
+        return (
+            listOf(
+                variant.name,
+                utilisation,
+                prefilled,
+                credit(requests),
+            ) + phases + kinds(mix, requests)
+            ).joinToString(" | ")
     }
 
     private fun kinds(mix: ForwardMix, requests: List<ModelRequest>) = mix.kinds.joinToString("; ") { kind ->
@@ -63,6 +71,10 @@
 
     private companion object {
         const val MS_PER_S = 1e3
-        val VARIANTS = listOf(PlacementVariant.CURRENT, PlacementVariant.PREVIOUS)
+        val VARIANTS = listOf(
+            PlacementVariant.CURRENT,
+            PlacementVariant("silence-is-loss", toleratesPrefill = false),
+            PlacementVariant.PREVIOUS,
+        )
     }
 }
--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
@@ -1,11 +1,16 @@
 package org.godwitwick.lab.forward
 
+import org.godwitwick.core.forward.ForwardRoute
 import org.godwitwick.core.forward.PlacementRule
 import org.godwitwick.core.forward.PlacementSettings
 import org.godwitwick.core.forward.PrefillSplitRule
 import org.godwitwick.core.forward.PrefillSplitSettings
 import org.godwitwick.core.forward.RequestSize
+import org.godwitwick.core.forward.RouteKind
+import org.godwitwick.core.forward.SilenceTimer
+import org.godwitwick.core.forward.StreamTimeoutRule
 import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.core.forward.WeightedService
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.forward.ForwardDemand
 import org.godwitwick.node.forward.LoadExchange
@@ -22,6 +27,7 @@
     val name: String,
     val placement: PlacementSettings = PlacementSettings(),
     val split: PrefillSplitSettings = PrefillSplitSettings(),
+    val toleratesPrefill: Boolean = true,
 ) {
     companion object {
         /** The settings that the product uses. */
@@ -46,7 +52,7 @@
  * Entry instances that place the requests of a [mix] on modelled engines with the rules of the product. Each instance learns the
  * work sent by the others with the delay of the load exchange. All times are model time.
  */
-class ForwardFleetModel(private val mix: ForwardMix, variant: PlacementVariant, seed: Long) {
+class ForwardFleetModel(private val mix: ForwardMix, private val variant: PlacementVariant, seed: Long) {
     private class Event(val atMs: Double, val order: Long, val action: (Double) -> Unit)
 
     private inner class Instance(index: Int, variant: PlacementVariant, seed: Long) {
@@ -79,9 +85,27 @@
                 startedAtMs = 1,
             )
         entry to
-            PassEngine(mix.speed, ::schedule, { inProgress.getValue(it).onPrefillDone() }) { inProgress.remove(it)?.end() }
+            PassEngine(mix.speed, ::schedule, { inProgress.getValue(it).work.onPrefillDone() }, ::end)
     }
-    private val inProgress = HashMap<ModelRequest, UpstreamLoads.WorkInProgress>()
+
+    private class Sent(
+        val instance: Instance,
+        val attempt: ModelAttempt,
+        val engines: List<UpstreamEntry>,
+        val work: UpstreamLoads.WorkInProgress,
+        var lastSignMs: Double,
+    ) {
+        val silence = SilenceTimer()
+
+        fun restartTimer(nowMs: Double, limitMs: Long?) {
+            lastSignMs = nowMs
+            silence.restart(limitMs, nowMs.toLong())
+        }
+    }
+
+    private val inProgress = HashMap<ModelRequest, Sent>()
+    private val streamTimeouts = StreamTimeoutRule(STALL_MS)
+    private val routes = mix.kinds.associateWith(::routeOf)
     private val instances = ArrayList<Instance>().apply { repeat(mix.instances) { add(Instance(it, variant, seed)) } }
     private val byId = instances.associateBy { it.registered.id }
     private val peersOf = instances.associateWith { self -> instances.filter { it !== self }.map { it.registered } }
@@ -115,21 +139,81 @@
     }
 
     private fun place(arrival: MixArrival): ModelRequest {
-        val instance = instances[random.nextInt(instances.size)]
-        val size = RequestSize(arrival.promptTokens, arrival.events.toLong() * mix.speed.stepsPerPass)
-        val demand = ForwardDemand(size, arrival.kind.targetMs, isStreaming = true)
+        val request = ModelRequest(arrival)
+        send(request, instances[random.nextInt(instances.size)])
+        schedule(nowMs + WATCH_MS) { watch(request) }
+        return request
+    }
+
+    private fun send(request: ModelRequest, instance: Instance) {
+        val size = RequestSize(request.promptTokens, request.remainingEvents.toLong() * mix.speed.stepsPerPass)
+        val demand = ForwardDemand(size, request.kind.targetMs, isStreaming = true)
         val work = instance.placer.place(demand, mix.speed.profile, engines.keys.toList(), nowMs.toLong())
-            ?: return ModelRequest(arrival, engines.values.first(), partCount = 0)
-        val helpers = work.placement.helpers.map { engines.getValue(it.upstream) }
+        if (work == null) {
+            request.isEnded = true
+            return
+        }
+        request.attempts++
         val decodingEngine = engines.getValue(work.placement.upstream)
-        val request = ModelRequest(arrival, decodingEngine, helpers.size + 1)
-        inProgress[request] = instance.loads.begin(work, nowMs.toLong())
+        val helpers = work.placement.helpers.map { engines.getValue(it.upstream) }
+        val attempt = ModelAttempt(request, decodingEngine, helpers + decodingEngine)
+        val entries = work.placement.helpers.map { it.upstream } + work.placement.upstream
+        val sent = Sent(instance, attempt, entries, instance.loads.begin(work, nowMs.toLong()), nowMs)
+        sent.restartTimer(nowMs, streamTimeouts.firstEventTimeoutMs(routes.getValue(request.kind), request.attempts - 1))
+        inProgress[request] = sent
         if (!size.isShort) schedule(nowMs + SEND_DELAY_MS) { instance.exchange.sendNow(it.toLong(), it.toLong()) }
-        decodingEngine.accept(request, helpers.size + 1, nowMs)
-        helpers.forEach { it.acceptHelperPart(request, helpers.size + 1, nowMs) }
-        return request
+        attempt.engines.forEach { it.accept(attempt, nowMs) }
     }
 
+    // The caller leaves when it has waited too long, and the instance sends a silent stream to another engine.
+    private fun watch(request: ModelRequest) {
+        if (request.isEnded) return
+        val lastSignMs = if (request.lastEventMs.isNaN()) request.arrivedMs else request.lastEventMs
+        if (nowMs - lastSignMs >= request.patienceMs) {
+            inProgress[request]?.attempt?.cancel()
+            end(request)
+            return
+        }
+        val sent = inProgress[request]
+        if (sent != null && isSilentTooLong(request, sent)) {
+            sent.attempt.cancel()
+            sent.work.end()
+            inProgress.remove(request)
+            send(request, sent.instance)
+        }
+        schedule(nowMs + WATCH_MS) { watch(request) }
+    }
+
+    private fun isSilentTooLong(request: ModelRequest, sent: Sent): Boolean {
+        if (request.lastEventMs > sent.lastSignMs) sent.restartTimer(request.lastEventMs, eventGapTimeoutMs(request))
+        val isPrefilling = variant.toleratesPrefill && sent.instance.placer.isPrefilling(sent.engines, nowMs.toLong())
+        return sent.silence.isExceeded(nowMs.toLong(), isPrefilling)
+    }
+
+    private fun eventGapTimeoutMs(request: ModelRequest) =
+        streamTimeouts.eventGapTimeoutMs(routes.getValue(request.kind), earlierRuns = request.attempts - 1)
+
+    private fun end(request: ModelRequest) {
+        request.isEnded = true
+        inProgress.remove(request)?.work?.end()
+    }
+
+    private fun routeOf(kind: MixKind) = ForwardRoute(
+        kind.name,
+        "model.example",
+        "/${kind.name}/",
+        RouteKind.Streaming(isResumable = true),
+        timeoutMs = TIMEOUT_MS,
+        targetMs = kind.targetMs,
+        gapTargetMs = kind.pauseTargetMs,
+        split = listOf(WeightedService("llm", 1.0)),
+        maxRuns = 2,
+        isPublic = true,
+    )
+
+    /** Prompt tokens that the engines prefilled, as a multiple of those that arrived. */
+    fun prefillOverhead(): Double = engines.values.sumOf { it.prefilledTokens } / arrivals.sumOf { it.promptTokens }
+
     /** Mean fraction of [ForwardMix.seconds] that the engines spent in passes. */
     fun utilisation(): Double = engines.values.sumOf { it.busyMs } / (mix.seconds * MS_PER_S * engines.size)
 
@@ -138,6 +222,9 @@
         const val EXCHANGE_MS = 200.0
         const val HOP_MS = 2.0
         const val SEND_DELAY_MS = 2.0
+        const val STALL_MS = 1_500L
+        const val TIMEOUT_MS = 15_000L
+        const val WATCH_MS = 50.0
         const val TAIL_S = 20.0
         const val MS_PER_S = 1e3
         const val SEED_PRIME = 7_919L
--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardMix.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardMix.kt
@@ -85,11 +85,13 @@
             "large-small" -> large(SMALL_ENGINES)
             "kasher" -> kasher()
             "pindan" -> pindan()
+            "pindan-busy" -> pindan(loadFactor = 1.27)
+            "pindan-grown-small" -> pindanGrownSmall()
             else -> null
         }
 
         /** Names of the mixes. */
-        val NAMES = listOf("large", "large-small", "kasher", "pindan")
+        val NAMES = listOf("large", "large-small", "kasher", "pindan", "pindan-busy", "pindan-grown-small")
 
         private const val LARGE_ENGINES = 195
         private const val SMALL_ENGINES = 35
@@ -142,7 +144,7 @@
         )
 
         /** The first deployment of Pindan. */
-        private fun pindan(): ForwardMix {
+        private fun pindan(loadFactor: Double = 1.0): ForwardMix {
             val profile =
                 EngineProfile(
                     slots = 11,
@@ -155,9 +157,32 @@
                 instances = 9,
                 PassSpeed(profile, 0.925, 0.00483, 0.00254, chunkTokens = 2_048, stepsPerPass = 46),
                 listOf(
-                    MixKind("short", 27.7, 4_960.0, 0.9, 23_800.0, 34.9, 300, 200, 1.3, 0.33),
-                    MixKind("medium", 2.01, 45_000.0, 0.5, 110_000.0, 20.9, 1_500, 500, 3.1, 0.79),
-                    MixKind("long", 0.833, 210_000.0, 0.55, 1_000_000.0, 17.4, 3_000, 800, 22.0, 5.4),
+                    MixKind("short", 27.7 * loadFactor, 4_960.0, 0.9, 23_800.0, 34.9, 300, 200, 1.3, 0.33),
+                    MixKind("medium", 2.01 * loadFactor, 45_000.0, 0.5, 110_000.0, 20.9, 1_500, 500, 3.1, 0.79),
+                    MixKind("long", 0.833 * loadFactor, 210_000.0, 0.55, 1_000_000.0, 17.4, 3_000, 800, 22.0, 5.4),
+                ),
+                PHASES,
+                SECONDS,
+            )
+        }
+
+        /** A quarter of the grown deployment of Pindan, where a usual long prompt fills most of an engine's KV cache. */
+        private fun pindanGrownSmall(): ForwardMix {
+            val profile =
+                EngineProfile(
+                    slots = 8,
+                    kvCapacityTokens = 382_500,
+                    prefillTokensPerMs = 256.0,
+                    attentionMsPerMillionPairs = 0.0917,
+                )
+            return ForwardMix(
+                engines = 15,
+                instances = 22,
+                PassSpeed(profile, 0.925, 0.00483, 0.00254, chunkTokens = 2_048, stepsPerPass = 52),
+                listOf(
+                    MixKind("short", 17.8, 4_960.0, 0.9, 23_800.0, 33.0, 309, 200, 1.4, 0.34),
+                    MixKind("medium", 1.64, 45_000.0, 0.5, 110_000.0, 20.0, 1_514, 500, 2.6, 0.66),
+                    MixKind("long", 0.485, 300_000.0, 0.55, 1_000_000.0, 16.0, 4_024, 800, 30.0, 7.5),
                 ),
                 PHASES,
                 SECONDS,
--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/PassEngine.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/PassEngine.kt
@@ -1,6 +1,8 @@
 package org.godwitwick.lab.forward
 
 import org.godwitwick.core.forward.EngineProfile
+import org.godwitwick.core.forward.RequestSize
+import org.godwitwick.core.forward.urgencyOf
 
 /**
  * Speed of an engine as the platform publishes it. Times are in milliseconds.
@@ -21,14 +23,25 @@
 )
 
 /** One request on the modelled engines. Times are in model milliseconds. */
-class ModelRequest(arrival: MixArrival, internal val decodingEngine: PassEngine, partCount: Int) {
+class ModelRequest(arrival: MixArrival) {
     val kind: MixKind = arrival.kind
     val promptTokens: Long = arrival.promptTokens
     val arrivedMs: Double = arrival.atMs
-    internal var remainingParts = partCount
     internal var remainingEvents = arrival.events
     internal var lastEventMs = Double.NaN
 
+    /** Number of times the request was sent to engines. */
+    var attempts = 0
+        internal set
+
+    /** Whether the caller has left, or the request was rejected. */
+    var isEnded = false
+        internal set
+
+    /** How long the caller waits for the first event, or for the next one, before it leaves. */
+    val patienceMs: Double
+        get() = maxOf(MIN_TIMEOUT_MS, kind.targetMs * TIMEOUT_PER_TARGET, kind.pauseTargetMs * TIMEOUT_PER_PAUSE_TARGET)
+
     /** Time from the arrival to the first event, or NaN until then. */
     var firstEventMs = Double.NaN
         private set
@@ -50,15 +63,10 @@
     /** Weight of the request among those of its kind; longer prompts have a higher weight. */
     val weight: Double get() = minOf(BASE_WEIGHT + (1 - BASE_WEIGHT) * promptTokens / kind.promptTokens, MAX_WEIGHT)
 
-    // Whether the caller has timed out. The model continues to run the request, as an engine does for a while.
-    private val isAbandoned: Boolean
-        get() = maxOf(firstEventMs, longestPauseMs) >
-            maxOf(MIN_TIMEOUT_MS, kind.targetMs * TIMEOUT_PER_TARGET, kind.pauseTargetMs * TIMEOUT_PER_PAUSE_TARGET)
-
-    /** Credit of the answer, on time or late, times [weight]; 0 if it did not end or its caller timed out. */
+    /** Credit of the answer, on time or late, times [weight]; 0 if it did not end. */
     val earnedCredit: Double
         get() = when {
-            remainingEvents > 0 || isAbandoned -> 0.0
+            remainingEvents > 0 -> 0.0
             firstEventMs <= kind.targetMs && longestPauseMs <= kind.pauseTargetMs -> kind.onTimeCredit * weight
             else -> kind.lateCredit * weight
         }
@@ -72,6 +80,18 @@
     }
 }
 
+/** One send of [request] to engines: one of them decodes, and all of them prefill one part each. */
+internal class ModelAttempt(val request: ModelRequest, val decodingEngine: PassEngine, val engines: List<PassEngine>) {
+    var remainingParts = engines.size
+    var isCancelled = false
+
+    /** Ends this attempt on all engines; the engines drop its work. */
+    fun cancel() {
+        isCancelled = true
+        engines.forEach { it.drop(this) }
+    }
+}
+
 /**
  * A model of one engine of the platform, which works in passes. A pass with decoding requests has [PassSpeed.stepsPerPass] steps,
  * each of which may prefill a chunk of the prompts. The decoding requests get their event at the end of the pass. The KV cache
@@ -87,11 +107,11 @@
     private val onPrefillDone: (ModelRequest) -> Unit,
     private val onEnd: (ModelRequest) -> Unit,
 ) {
-    private class Part(val request: ModelRequest, val isHelper: Boolean, var tokensLeft: Double, val msPerToken: Double)
+    private class Part(val attempt: ModelAttempt, val isHelper: Boolean, var tokensLeft: Double, val msPerToken: Double)
 
-    private val queued = ArrayDeque<ModelRequest>()
-    private val running = ArrayList<ModelRequest>()
-    private val decoding = ArrayList<ModelRequest>()
+    private val queued = ArrayList<ModelAttempt>()
+    private val running = ArrayList<ModelAttempt>()
+    private val decoding = ArrayList<ModelAttempt>()
     private val parts = ArrayList<Part>()
     private var isBusy = false
 
@@ -99,23 +119,33 @@
     var busyMs = 0.0
         private set
 
-    /** Queues [request], which this engine decodes after prefilling one of the [partCount] parts of its prompt. */
-    fun accept(request: ModelRequest, partCount: Int, nowMs: Double) {
-        queued += request
-        if (partCount > 0) addPart(request, partCount, isHelper = false)
-        startIfIdle(nowMs)
-    }
+    /** Prompt tokens prefilled so far. */
+    var prefilledTokens = 0.0
+        private set
 
-    /** Queues the prefill of one of the [partCount] parts of [request], which another engine decodes. */
-    fun acceptHelperPart(request: ModelRequest, partCount: Int, nowMs: Double) {
-        addPart(request, partCount, isHelper = true)
+    /** Queues this engine's part of [attempt], and its decoding if this is its decoding engine. */
+    internal fun accept(attempt: ModelAttempt, nowMs: Double) {
+        val isHelper = attempt.decodingEngine !== this
+        val promptTokens = attempt.request.promptTokens
+        if (!isHelper) {
+            queued += attempt
+            queued.sortBy { urgencyOf(RequestSize(it.request.promptTokens, 0)) }
+        }
+        parts += Part(
+            attempt,
+            isHelper,
+            promptTokens.toDouble() / attempt.engines.size,
+            speed.profile.prefillMs(promptTokens) / promptTokens,
+        )
+        parts.sortBy { !it.isHelper }
         startIfIdle(nowMs)
     }
 
-    private fun addPart(request: ModelRequest, partCount: Int, isHelper: Boolean) {
-        val tokens = request.promptTokens.toDouble() / partCount
-        parts += Part(request, isHelper, tokens, speed.profile.prefillMs(request.promptTokens) / request.promptTokens)
-        parts.sortBy { !it.isHelper }
+    internal fun drop(attempt: ModelAttempt) {
+        queued -= attempt
+        running -= attempt
+        decoding -= attempt
+        parts.removeAll { it.attempt === attempt }
     }
 
     private fun startIfIdle(nowMs: Double) {
@@ -125,14 +155,14 @@
     }
 
     private fun runPass(nowMs: Double) {
-        while (running.size < speed.profile.slots && queued.isNotEmpty()) running += queued.removeFirst()
-        val runnable = parts.filter { it.isHelper || it.request in running }
+        while (running.size < speed.profile.slots && queued.isNotEmpty()) running += queued.removeAt(0)
+        val runnable = parts.filter { it.isHelper || it.attempt in running }
         if (runnable.isEmpty() && decoding.isEmpty()) {
             isBusy = false
             return
         }
         val steps = if (decoding.isEmpty()) 1 else speed.stepsPerPass
-        val contextKiloTokens = decoding.sumOf { it.promptTokens } / TOKENS_PER_KILO_TOKEN
+        val contextKiloTokens = decoding.sumOf { it.request.promptTokens } / TOKENS_PER_KILO_TOKEN
         val stepMs = speed.stepMs + speed.stepMsPerDecodingRequest * decoding.size + speed.stepMsPerKiloToken * contextKiloTokens
         val prefilled = prefill(runnable, steps.toDouble() * speed.chunkTokens)
         val passMs = steps * stepMs + prefilled.first
@@ -149,6 +179,7 @@
             val tokens = minOf(left, part.tokensLeft)
             if (tokens <= 0) break
             part.tokensLeft -= tokens
+            prefilledTokens += tokens
             left -= tokens
             ms += tokens * part.msPerToken
             if (part.tokensLeft < 1) done += part
@@ -159,27 +190,28 @@
     private fun onPassEnd(done: List<Part>, nowMs: Double) {
         decoding.toList().forEach { emitEvent(it, nowMs) }
         parts.removeAll(done)
-        done.forEach { part -> onPartPrefilled(part.request, nowMs) }
+        done.forEach { part -> onPartPrefilled(part.attempt, nowMs) }
         runPass(nowMs)
     }
 
-    private fun onPartPrefilled(request: ModelRequest, nowMs: Double) {
-        if (--request.remainingParts > 0) return
-        onPrefillDone(request)
-        request.decodingEngine.startDecoding(request, nowMs)
+    private fun onPartPrefilled(attempt: ModelAttempt, nowMs: Double) {
+        if (attempt.isCancelled || --attempt.remainingParts > 0) return
+        onPrefillDone(attempt.request)
+        attempt.decodingEngine.startDecoding(attempt, nowMs)
     }
 
-    private fun startDecoding(request: ModelRequest, nowMs: Double) {
-        decoding += request
-        emitEvent(request, nowMs)
+    private fun startDecoding(attempt: ModelAttempt, nowMs: Double) {
+        decoding += attempt
+        emitEvent(attempt, nowMs)
         startIfIdle(nowMs)
     }
 
-    private fun emitEvent(request: ModelRequest, nowMs: Double) {
+    private fun emitEvent(attempt: ModelAttempt, nowMs: Double) {
+        val request = attempt.request
         request.onEvent(nowMs)
         if (request.remainingEvents > 0) return
-        decoding -= request
-        running -= request
+        decoding -= attempt
+        running -= attempt
         onEnd(request)
     }
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -10,6 +10,7 @@
 import org.godwitwick.core.forward.ForwardService
 import org.godwitwick.core.forward.ForwardTarget
 import org.godwitwick.core.forward.NextStep
+import org.godwitwick.core.forward.Placement
 import org.godwitwick.core.forward.RouteKind
 import org.godwitwick.core.forward.SendCounts
 import org.godwitwick.core.forward.UpstreamEntry
@@ -43,11 +44,16 @@
     private var counts = SendCounts()
     private var lastEnd: AttemptEnd? = null
     private var firstByteMs: Long? = null
+
+    @Volatile
     private var service: String? = null
     private var eventGapTimeoutMs: Long? = null
     private var lastEventMs = 0L
     private var longestPauseMs = 0L
 
+    @Volatile
+    private var hasReservedRetry = false
+
     /** Outcome of a request: a stream or a single answer to forward, or the failure to report to the caller. */
     private sealed interface Outcome {
         class Stream(val stream: UpstreamStream) : Outcome
@@ -113,7 +119,7 @@
             reservedHelpers.helpers,
             lastEventId,
         )
-        val result = send(call, admitted.route)
+        val result = send(call, admitted.route, placement)
         val outcome = when (result) {
             is SendResult.Ended -> null
             is SendResult.Open -> readAnswer(result, admitted.route, placement.upstream, progress, endAttempt)
@@ -126,10 +132,26 @@
         }
     }
 
-    private fun send(call: UpstreamCall, route: ForwardRoute): SendResult =
-        context.client.send(call, body, route.kind.isIdempotent, guard) { sent ->
-            guard.attach(sent, context.streamTimeouts.firstEventTimeoutMs(route, counts.mayHaveRun), Clocks.steadyMs())
+    private fun send(call: UpstreamCall, route: ForwardRoute, placement: Placement): SendResult {
+        val limitMs = context.streamTimeouts.firstEventTimeoutMs(route, counts.mayHaveRun)
+        val engines = placement.helpers.map { it.upstream } + placement.upstream
+        return context.client.send(call, body, route.kind.isIdempotent, guard) { sent ->
+            guard.attach(sent, limitMs, silencePolicyOf(engines), Clocks.steadyMs())
         }
+    }
+
+    private fun silencePolicyOf(engines: List<UpstreamEntry>) = object : SilencePolicy {
+        override fun isPrefilling(nowMs: Long): Boolean = context.placer.isPrefilling(engines, nowMs)
+
+        override fun reserveRetry(nowMs: Long): Boolean =
+            context.budgets.tryTake(service.orEmpty(), nowMs).also { if (it) hasReservedRetry = true }
+    }
+
+    private fun takeRetry(): Boolean {
+        if (!hasReservedRetry) return context.budgets.tryTake(service.orEmpty(), Clocks.steadyMs())
+        hasReservedRetry = false
+        return true
+    }
 
     private fun readAnswer(
         open: SendResult.Open,
@@ -178,7 +200,7 @@
         lastEnd = end
         upstream?.let { penaliseFault(it, end, faultyAddress) }
         val hasTimeLeft = remainingMs() > MIN_SEND_MS && guard.cancelReason.let { it == null || it == CancelReason.SILENCE }
-        val step = nextStep(route, end, counts, hasTimeLeft) { context.budgets.tryTake(service.orEmpty(), Clocks.steadyMs()) }
+        val step = nextStep(route, end, counts, hasTimeLeft, ::takeRetry)
         if (end !is AttemptEnd.Answered || step != NextStep.Deliver) {
             log.info("forward: {} at {} ended with {} after {} ms; {}", request.id, upstream?.id, end, elapsedMs(), step)
         }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunGuard.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunGuard.kt
@@ -1,11 +1,21 @@
 package org.godwitwick.node.forward
 
 import okhttp3.Call
+import org.godwitwick.core.forward.SilenceTimer
 import java.io.IOException
 
 /** Why a send was cancelled. */
 enum class CancelReason { CALLER_GONE, TIMEOUT, SILENCE }
 
+/** What a [RunGuard] asks before it cancels a silent send. Called from the thread that checks the guards. */
+interface SilencePolicy {
+    /** Whether the upstreams of the current send are expected to be prefilling at [nowMs]. */
+    fun isPrefilling(nowMs: Long): Boolean
+
+    /** Reserves another send at [nowMs] and returns whether there is one; without it, a cancellation would only lose work. */
+    fun reserveRetry(nowMs: Long): Boolean
+}
+
 /**
  * Cancels the sends of one request when its caller disconnects, its deadline passes or its upstream is silent for too long.
  *
@@ -13,8 +23,8 @@
  */
 class RunGuard(val deadlineMs: Long) {
     private var call: Call? = null
-    private var silentFromMs: Long? = null
-    private var silenceLimitMs = 0L
+    private var silencePolicy: SilencePolicy? = null
+    private val silence = SilenceTimer()
 
     /** Why the current send or the whole request was cancelled, or null if it was not. */
     @Volatile
@@ -25,27 +35,26 @@
     fun causeOf(e: IOException): String =
         cancelReason?.let { "cancelled: ${it.name.lowercase()}" } ?: "${e.javaClass.simpleName}: ${e.message}"
 
-    /** Starts to guard [call], which may be silent for [silenceLimitMs]; null means no limit. */
+    /** Starts to guard [call], which may be silent for [silenceLimitMs] as far as [policy] allows; null means no limit. */
     @Synchronized
-    fun attach(call: Call, silenceLimitMs: Long?, nowMs: Long) {
+    fun attach(call: Call, silenceLimitMs: Long?, policy: SilencePolicy, nowMs: Long) {
         if (cancelReason == CancelReason.SILENCE) cancelReason = null
         this.call = call
+        silencePolicy = policy
         restartSilenceTimer(silenceLimitMs, nowMs)
         if (cancelReason != null) call.cancel()
     }
 
     /** Restarts the measurement of silence: the next bytes must arrive within [limitMs]; null means no limit. */
     @Synchronized
-    fun restartSilenceTimer(limitMs: Long?, nowMs: Long) {
-        silentFromMs = limitMs?.let { nowMs }
-        silenceLimitMs = limitMs ?: 0
-    }
+    fun restartSilenceTimer(limitMs: Long?, nowMs: Long) = silence.restart(limitMs, nowMs)
 
     /** Stops guarding the current send. */
     @Synchronized
     fun detach() {
         call = null
-        silentFromMs = null
+        silencePolicy = null
+        silence.stop()
     }
 
     /** Cancels the request because its caller has disconnected. */
@@ -54,14 +63,19 @@
     /** Cancels the request if its deadline has passed at [nowMs], or the current send if it has been silent for too long. */
     fun check(nowMs: Long) {
         if (nowMs >= deadlineMs) return cancel(CancelReason.TIMEOUT)
-        val isSilent = synchronized(this) { silentFromMs?.let { nowMs - it >= silenceLimitMs } ?: false }
-        if (isSilent) cancel(CancelReason.SILENCE)
+        cancelIfSilent(nowMs)
+    }
+
+    @Synchronized
+    private fun cancelIfSilent(nowMs: Long) {
+        val policy = silencePolicy ?: return
+        if (silence.isExceeded(nowMs, policy.isPrefilling(nowMs)) && policy.reserveRetry(nowMs)) cancel(CancelReason.SILENCE)
     }
 
     @Synchronized
     private fun cancel(newReason: CancelReason) {
         if (cancelReason == null) cancelReason = newReason
-        silentFromMs = null
+        silence.stop()
         call?.cancel()
     }
 }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
@@ -46,6 +46,13 @@
         )
     }
 
+    /** Whether one of [engines] is known to have unfinished prefills at [nowMs]. */
+    fun isPrefilling(engines: List<UpstreamEntry>, nowMs: Long): Boolean {
+        if (engines.any { loads.workAt(it, nowMs).pendingPrefillMs > 0 }) return true
+        val others = peerLoads.at(nowMs)
+        return engines.any { others.workAt(it).pendingPrefillMs > 0 }
+    }
+
     private fun placementOf(
         demand: ForwardDemand,
         engine: EngineProfile?,
