Let long prompts wait at their instance while engines have a backlog

Cause: the platform's path sent each model request at once, so in a burst of long prompts each one queued at the engines behind all earlier ones and all were late; one prompt of 800,000 tokens delayed every later one by seconds.

Change: PrefillStartRule decides when a long prompt begins, from its own prefill time, the backlog of the chosen engines and the caller's wait. Shorter prompts overtake longer ones; a prompt that can only be late begins when the engines are almost idle or shortly before its caller leaves; one that can't be answered in time is rejected at once with the backlog as Retry-After. A waiting request is admitted again before it is sent, because its key may have been revoked.

--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardExperimentCommand.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardExperimentCommand.kt
@@ -1,5 +1,6 @@
 package org.godwitwick.lab.forward
 
+import org.godwitwick.core.forward.PrefillStartSettings
 import picocli.CommandLine
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
@@ -74,6 +75,7 @@
         val VARIANTS = listOf(
             PlacementVariant.CURRENT,
             PlacementVariant("silence-is-loss", toleratesPrefill = false),
+            PlacementVariant("no-wait", start = PrefillStartSettings(backlogWeight = 0.0, idleBacklogMs = Double.MAX_VALUE)),
             PlacementVariant.PREVIOUS,
         )
     }
--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
@@ -1,10 +1,13 @@
 package org.godwitwick.lab.forward
 
+import org.godwitwick.core.forward.CallerWait
 import org.godwitwick.core.forward.ForwardRoute
 import org.godwitwick.core.forward.PlacementRule
 import org.godwitwick.core.forward.PlacementSettings
 import org.godwitwick.core.forward.PrefillSplitRule
 import org.godwitwick.core.forward.PrefillSplitSettings
+import org.godwitwick.core.forward.PrefillStartRule
+import org.godwitwick.core.forward.PrefillStartSettings
 import org.godwitwick.core.forward.RequestSize
 import org.godwitwick.core.forward.RouteKind
 import org.godwitwick.core.forward.SilenceTimer
@@ -15,6 +18,8 @@
 import org.godwitwick.node.forward.ForwardDemand
 import org.godwitwick.node.forward.LoadExchange
 import org.godwitwick.node.forward.PeerLoads
+import org.godwitwick.node.forward.PlacedWork
+import org.godwitwick.node.forward.PlacementDecision
 import org.godwitwick.node.forward.RegisteredInstance
 import org.godwitwick.node.forward.UpstreamLoads
 import org.godwitwick.node.forward.WorkPlacer
@@ -27,6 +32,7 @@
     val name: String,
     val placement: PlacementSettings = PlacementSettings(),
     val split: PrefillSplitSettings = PrefillSplitSettings(),
+    val start: PrefillStartSettings = PrefillStartSettings(),
     val toleratesPrefill: Boolean = true,
 ) {
     companion object {
@@ -66,6 +72,7 @@
             peerLoads,
             random,
             { instances.size },
+            PrefillStartRule(variant.start),
         )
         val exchange = LoadExchange(registered, loads, peerLoads) { to, message -> deliver(registered.id, to, message) }
     }
@@ -147,12 +154,22 @@
 
     private fun send(request: ModelRequest, instance: Instance) {
         val size = RequestSize(request.promptTokens, request.remainingEvents.toLong() * mix.speed.stepsPerPass)
-        val demand = ForwardDemand(size, request.kind.targetMs, isStreaming = true)
-        val work = instance.placer.place(demand, mix.speed.profile, engines.keys.toList(), nowMs.toLong())
-        if (work == null) {
-            request.isEnded = true
-            return
+        val sinceMs = (if (request.lastEventMs.isNaN()) request.arrivedMs else request.lastEventMs).toLong()
+        val targetMs = if (request.lastEventMs.isNaN()) request.kind.targetMs else request.kind.pauseTargetMs
+        val wait = CallerWait(sinceMs, targetMs, sinceMs + request.patienceMs.toLong())
+        val demand = ForwardDemand(size, wait, isStreaming = true)
+        val decision = instance.placer.place(demand, mix.speed.profile, engines.keys.toList(), nowMs.toLong())
+        when (decision) {
+            is PlacementDecision.Send -> begin(request, size, decision.work, instance)
+
+            is PlacementDecision.Wait ->
+                schedule(nowMs + random.nextDouble(MIN_TURN_MS, MAX_TURN_MS)) { if (!request.isEnded) send(request, instance) }
+
+            is PlacementDecision.Reject, is PlacementDecision.NoUpstream -> request.isEnded = true
         }
+    }
+
+    private fun begin(request: ModelRequest, size: RequestSize, work: PlacedWork, instance: Instance) {
         request.attempts++
         val decodingEngine = engines.getValue(work.placement.upstream)
         val helpers = work.placement.helpers.map { engines.getValue(it.upstream) }
@@ -225,6 +242,8 @@
         const val STALL_MS = 1_500L
         const val TIMEOUT_MS = 15_000L
         const val WATCH_MS = 50.0
+        const val MIN_TURN_MS = 20.0
+        const val MAX_TURN_MS = 40.0
         const val TAIL_S = 20.0
         const val MS_PER_S = 1e3
         const val SEED_PRIME = 7_919L
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -6,6 +6,7 @@
 import org.godwitwick.core.error.Failure
 import org.godwitwick.core.forward.AdmittedTarget
 import org.godwitwick.core.forward.AttemptEnd
+import org.godwitwick.core.forward.CallerWait
 import org.godwitwick.core.forward.ForwardRoute
 import org.godwitwick.core.forward.ForwardService
 import org.godwitwick.core.forward.ForwardTarget
@@ -15,6 +16,7 @@
 import org.godwitwick.core.forward.SendCounts
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.forward.adjustedForSends
+import org.godwitwick.core.forward.callerPatienceMs
 import org.godwitwick.core.forward.failureOf
 import org.godwitwick.core.forward.nextStep
 import org.godwitwick.core.forward.urgencyOf
@@ -95,7 +97,12 @@
     // Returns null if another upstream is to be tried.
     private fun attempt(admitted: AdmittedTarget, serviceName: String, lastEventId: Long?): Outcome? {
         val spec = context.fleetView.routing.table?.serviceOf(serviceName)
-        val work = placer.place(spec, serviceName, admitted.route) ?: return Outcome.Failed(placementFailure(spec))
+        val work = when (val decision = placer.place(spec, serviceName, admitted.route, callerWait(admitted.route))) {
+            is PlacementDecision.Send -> decision.work
+            is PlacementDecision.Wait -> return awaitTurn()
+            is PlacementDecision.Reject -> return Outcome.Failed(backlogFailure(decision.retryAfterMs))
+            is PlacementDecision.NoUpstream -> return Outcome.Failed(placementFailure(spec))
+        }
         val placement = work.placement
         val progress = context.loads.begin(work, Clocks.steadyMs())
         if (request.size?.isShort == false) context.onLongPromptPlaced()
@@ -132,6 +139,27 @@
         }
     }
 
+    private fun callerWait(route: ForwardRoute): CallerWait {
+        val sinceMs = arrivedMs + lastEventMs
+        val targetMs = if (lastEventMs > 0) route.gapTargetMs else route.targetMs
+        return CallerWait(sinceMs, targetMs, minOf(sinceMs + callerPatienceMs(route), guard.deadlineMs))
+    }
+
+    // Returns null if the request is to be placed again. The caller's key may have been revoked meanwhile, so the request is
+    // admitted again as well.
+    private fun awaitTurn(): Outcome? {
+        // Random, so that instances that wait for the same engines do not place their requests at the same moment.
+        if (guard.pause(context.random.nextLong(MIN_TURN_MS, MAX_TURN_MS))) return null
+        val failure = deadlineFailure() ?: Failure(ErrorKind.CANCELLED, "the caller disconnected", Executed.NO)
+        return Outcome.Failed(failure)
+    }
+
+    private fun backlogFailure(retryAfterMs: Long) = Failure(
+        ErrorKind.OVERLOADED,
+        "the engines have too much prefill pending to answer in time",
+        retryAfterMs = maxOf(retryAfterMs, MIN_BACKLOG_RETRY_MS),
+    )
+
     private fun send(call: UpstreamCall, route: ForwardRoute, placement: Placement): SendResult {
         val limitMs = context.streamTimeouts.firstEventTimeoutMs(route, counts.mayHaveRun)
         val engines = placement.helpers.map { it.upstream } + placement.upstream
@@ -328,6 +356,13 @@
         /** With less time left a send would not be answered in time. */
         const val MIN_SEND_MS = 20L
 
+        /** Bounds of the time after which a waiting request is placed again. */
+        const val MIN_TURN_MS = 20L
+        const val MAX_TURN_MS = 40L
+
+        /** Lower bound of the retry delay that callers are advised while engines have prefill pending. */
+        const val MIN_BACKLOG_RETRY_MS = 300L
+
         /** Retry delay that callers are advised; upstreams renew their registration about once a second. */
         const val NO_UPSTREAM_RETRY_MS = 500L
         val log = LoggerFactory.getLogger(ForwardRun::class.java)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
@@ -1,5 +1,6 @@
 package org.godwitwick.node.forward
 
+import org.godwitwick.core.forward.CallerWait
 import org.godwitwick.core.forward.ForwardRoute
 import org.godwitwick.core.forward.ForwardService
 import org.godwitwick.core.forward.RouteKind
@@ -20,11 +21,11 @@
         avoided += address
     }
 
-    /** Returns the next placement at the service called [serviceName], or null if no upstream can take the request. */
-    fun place(service: ForwardService?, serviceName: String, route: ForwardRoute): PlacedWork? {
+    /** Places the request at the service called [serviceName], for a caller that has waited as [wait] says. */
+    fun place(service: ForwardService?, serviceName: String, route: ForwardRoute, wait: CallerWait): PlacementDecision {
         val known = context.fleetView.upstreams[serviceName].orEmpty().filter { it.address !in avoided }
         val untried = known.filter { it !in tried }.ifEmpty { known }
-        val demand = ForwardDemand(request.size, route.targetMs, route.kind is RouteKind.Streaming)
+        val demand = ForwardDemand(request.size, wait, route.kind is RouteKind.Streaming)
         return context.placer.place(demand, service?.engine, untried, Clocks.steadyMs())
     }
 }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunGuard.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunGuard.kt
@@ -3,6 +3,8 @@
 import okhttp3.Call
 import org.godwitwick.core.forward.SilenceTimer
 import java.io.IOException
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 
 /** Why a send was cancelled. */
 enum class CancelReason { CALLER_GONE, TIMEOUT, SILENCE }
@@ -25,6 +27,7 @@
     private var call: Call? = null
     private var silencePolicy: SilencePolicy? = null
     private val silence = SilenceTimer()
+    private val cancelled = CountDownLatch(1)
 
     /** Why the current send or the whole request was cancelled, or null if it was not. */
     @Volatile
@@ -72,10 +75,17 @@
         if (silence.isExceeded(nowMs, policy.isPrefilling(nowMs)) && policy.reserveRetry(nowMs)) cancel(CancelReason.SILENCE)
     }
 
+    /** Waits for [ms], or until the request is cancelled; returns whether it may go on. */
+    fun pause(ms: Long): Boolean {
+        cancelled.await(ms, TimeUnit.MILLISECONDS)
+        return cancelReason.let { it == null || it == CancelReason.SILENCE }
+    }
+
     @Synchronized
     private fun cancel(newReason: CancelReason) {
         if (cancelReason == null) cancelReason = newReason
         silence.stop()
+        if (newReason != CancelReason.SILENCE) cancelled.countDown()
         call?.cancel()
     }
 }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
@@ -1,9 +1,13 @@
 package org.godwitwick.node.forward
 
+import org.godwitwick.core.forward.CallerWait
 import org.godwitwick.core.forward.EngineProfile
 import org.godwitwick.core.forward.Placement
 import org.godwitwick.core.forward.PlacementDemand
 import org.godwitwick.core.forward.PlacementRule
+import org.godwitwick.core.forward.PrefillForecast
+import org.godwitwick.core.forward.PrefillStart
+import org.godwitwick.core.forward.PrefillStartRule
 import org.godwitwick.core.forward.RequestSize
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.forward.UpstreamView
@@ -13,9 +17,24 @@
  * A request to be placed.
  *
  * @property size size in tokens, or null for requests to plain services.
- * @property targetMs the operator's target for the time to the answer or to the first event, in milliseconds.
+ * @property wait the caller's wait for the answer, or for the next event of a stream.
  */
-data class ForwardDemand(val size: RequestSize?, val targetMs: Long, val isStreaming: Boolean)
+data class ForwardDemand(val size: RequestSize?, val wait: CallerWait, val isStreaming: Boolean)
+
+/** Decision on a [ForwardDemand]. */
+sealed interface PlacementDecision {
+    /** The request is sent as [work] says. */
+    data class Send(val work: PlacedWork) : PlacementDecision
+
+    /** The engines have too much prefill pending; the request is placed again a little later. */
+    data object Wait : PlacementDecision
+
+    /** The request cannot be answered in time; the engines may take it after [retryAfterMs]. */
+    data class Reject(val retryAfterMs: Long) : PlacementDecision
+
+    /** No upstream can take the request. */
+    data object NoUpstream : PlacementDecision
+}
 
 /**
  * Places requests by the work that this instance has sent and that the other instances have reported.
@@ -28,22 +47,26 @@
     private val peerLoads: PeerLoads,
     private val random: Random,
     private val instanceCount: () -> Int?,
+    private val startRule: PrefillStartRule = PrefillStartRule(),
 ) {
-    /** Places [demand] on some of [candidates]; returns null if they cannot take it. [engine] is null for plain services. */
-    fun place(demand: ForwardDemand, engine: EngineProfile?, candidates: List<UpstreamEntry>, nowMs: Long): PlacedWork? {
+    /** Places [demand] on some of [candidates]. [engine] is null for plain services. */
+    fun place(demand: ForwardDemand, engine: EngineProfile?, candidates: List<UpstreamEntry>, nowMs: Long): PlacementDecision {
         val others = peerLoads.at(nowMs)
         val views = candidates.shuffled(random).map { viewOf(it, others, nowMs) }
-        val placement = placementOf(demand, engine, views, knownShare(others)) ?: return null
+        val placement =
+            placementOf(demand, engine, views, knownShare(others)) ?: return PlacementDecision.NoUpstream
         val isShortStream = demand.isStreaming && demand.size?.isShort != false
         val engineIds = placement.helpers.mapTo(hashSetOf(placement.upstream.id)) { it.upstream.id }
         val queuedPrefillMs = views.filter { it.entry.id in engineIds }.associate { it.entry.id to it.work.pendingPrefillMs }
-        return PlacedWork(
-            placement,
-            prefillMsOf(demand, engine, placement),
-            heldTokensOf(demand, placement),
-            isShortStream,
-            queuedPrefillMs,
-        )
+        val prefillMs = prefillMsOf(demand, engine, placement)
+        val work = PlacedWork(placement, prefillMs, heldTokensOf(demand, placement), isShortStream, queuedPrefillMs)
+        if (demand.size?.isShort != false) return PlacementDecision.Send(work)
+        val forecast = PrefillForecast(prefillMs, queuedPrefillMs.values.maxOrNull() ?: 0.0)
+        return when (val start = startRule.decide(demand.wait, forecast, nowMs)) {
+            is PrefillStart.Begin -> PlacementDecision.Send(work)
+            is PrefillStart.Wait -> PlacementDecision.Wait
+            is PrefillStart.Reject -> PlacementDecision.Reject(start.retryAfterMs)
+        }
     }
 
     /** Whether one of [engines] is known to have unfinished prefills at [nowMs]. */
@@ -61,7 +84,7 @@
     ): Placement? {
         val size = demand.size
         if (engine == null || size == null) return rule.place(views)
-        return rule.place(PlacementDemand(size, demand.targetMs), engine, views, knownShare)
+        return rule.place(PlacementDemand(size, demand.wait.targetMs), engine, views, knownShare)
     }
 
     private fun viewOf(entry: UpstreamEntry, others: PeerWork, nowMs: Long): UpstreamView {
