Share fewer engines among short requests and keep long prefills off them

At least four engines and one for each seven streams were shared, so in a burst of long prompts too few other engines were left for prefills.

Change: short requests share at least two engines instead of four, and a prefill on a shared engine counts two streams that will arrive instead of a half.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/PlacementRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/PlacementRule.kt
@@ -142,7 +142,7 @@
     val maxEngines: Int = 17,
     val switchMarginMs: Double = 150.0,
     val streamShare: Double = 0.6,
-    val minSharedEngines: Int = 4,
+    val minSharedEngines: Int = 2,
     val maxMemoryShare: Double = 0.8,
     val firstMemoryShare: Double = 0.3,
     val reservedShare: Double = 0.25,
--- a/core/src/main/kotlin/org/godwitwick/core/forward/PrefillSplitRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/PrefillSplitRule.kt
@@ -103,7 +103,7 @@
     val longStallMs: Double = 700.0,
     val stallSteepness: Double = 5.0,
     val longStreamValue: Double = 6.0,
-    val expectedSharedStreams: Double = 0.5,
+    val expectedSharedStreams: Double = 2.0,
     val expectedOtherStreams: Double = 0.05,
     val tokensPerRequest: Double = 5_000.0,
     val safeTargetShare: Double = 0.2,
