Log and measure how long requests wait for the engines

A request that waits logs its own prefill time and the backlog once, and the length of its wait when it is sent or ends. The wait and the reserved retries get classes of their own.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
@@ -22,6 +22,14 @@
         histogram(registry, "godwitwick_forward_first_byte_seconds", "Time from the arrival to the first byte.")
     private val duration =
         histogram(registry, "godwitwick_forward_duration_seconds", "Time from the arrival to the end of the answer.")
+    private val waiting = histogram(
+        registry,
+        "godwitwick_forward_wait_seconds",
+        "Time that long prompts waited at this instance because the engines had prefill pending.",
+    )
+
+    /** Records that a request to [service] waited for [waitedMs] before it was sent or failed. */
+    fun recordWait(service: String, waitedMs: Long) = waiting.labelValues(service).observe(waitedMs / MS_PER_SECOND)
 
     /**
      * Records the end of a request to [service]; [firstByteMs] and [durationMs] count from its arrival, [firstByteMs] is null if
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -12,6 +12,7 @@
 import org.godwitwick.core.forward.ForwardTarget
 import org.godwitwick.core.forward.NextStep
 import org.godwitwick.core.forward.Placement
+import org.godwitwick.core.forward.PrefillForecast
 import org.godwitwick.core.forward.RouteKind
 import org.godwitwick.core.forward.SendCounts
 import org.godwitwick.core.forward.UpstreamEntry
@@ -43,19 +44,18 @@
     private val onEnd: () -> Unit,
 ) {
     private val placer = RequestPlacer(context, request)
+    private val turn = PrefillTurn(context, request.id, guard)
     private var counts = SendCounts()
     private var lastEnd: AttemptEnd? = null
     private var firstByteMs: Long? = null
 
     @Volatile
     private var service: String? = null
+    private val retries = RunRetries(context) { service.orEmpty() }
     private var eventGapTimeoutMs: Long? = null
     private var lastEventMs = 0L
     private var longestPauseMs = 0L
 
-    @Volatile
-    private var hasReservedRetry = false
-
     /** Outcome of a request: a stream or a single answer to forward, or the failure to report to the caller. */
     private sealed interface Outcome {
         class Stream(val stream: UpstreamStream) : Outcome
@@ -98,8 +98,8 @@
     private fun attempt(admitted: AdmittedTarget, serviceName: String, lastEventId: Long?): Outcome? {
         val spec = context.fleetView.routing.table?.serviceOf(serviceName)
         val work = when (val decision = placer.place(spec, serviceName, admitted.route, callerWait(admitted.route))) {
-            is PlacementDecision.Send -> decision.work
-            is PlacementDecision.Wait -> return awaitTurn()
+            is PlacementDecision.Send -> decision.work.also { turn.onSend(elapsedMs()) }
+            is PlacementDecision.Wait -> return awaitTurn(decision.forecast)
             is PlacementDecision.Reject -> return Outcome.Failed(backlogFailure(decision.retryAfterMs))
             is PlacementDecision.NoUpstream -> return Outcome.Failed(placementFailure(spec))
         }
@@ -147,9 +147,8 @@
 
     // Returns null if the request is to be placed again. The caller's key may have been revoked meanwhile, so the request is
     // admitted again as well.
-    private fun awaitTurn(): Outcome? {
-        // Random, so that instances that wait for the same engines do not place their requests at the same moment.
-        if (guard.pause(context.random.nextLong(MIN_TURN_MS, MAX_TURN_MS))) return null
+    private fun awaitTurn(forecast: PrefillForecast): Outcome? {
+        if (turn.await(service.orEmpty(), forecast, elapsedMs())) return null
         val failure = deadlineFailure() ?: Failure(ErrorKind.CANCELLED, "the caller disconnected", Executed.NO)
         return Outcome.Failed(failure)
     }
@@ -164,23 +163,10 @@
         val limitMs = context.streamTimeouts.firstEventTimeoutMs(route, counts.mayHaveRun)
         val engines = placement.helpers.map { it.upstream } + placement.upstream
         return context.client.send(call, body, route.kind.isIdempotent, guard) { sent ->
-            guard.attach(sent, limitMs, silencePolicyOf(engines), Clocks.steadyMs())
+            guard.attach(sent, limitMs, retries.silencePolicyOf(engines), Clocks.steadyMs())
         }
     }
 
-    private fun silencePolicyOf(engines: List<UpstreamEntry>) = object : SilencePolicy {
-        override fun isPrefilling(nowMs: Long): Boolean = context.placer.isPrefilling(engines, nowMs)
-
-        override fun reserveRetry(nowMs: Long): Boolean =
-            context.budgets.tryTake(service.orEmpty(), nowMs).also { if (it) hasReservedRetry = true }
-    }
-
-    private fun takeRetry(): Boolean {
-        if (!hasReservedRetry) return context.budgets.tryTake(service.orEmpty(), Clocks.steadyMs())
-        hasReservedRetry = false
-        return true
-    }
-
     private fun readAnswer(
         open: SendResult.Open,
         route: ForwardRoute,
@@ -228,7 +214,7 @@
         lastEnd = end
         upstream?.let { penaliseFault(it, end, faultyAddress) }
         val hasTimeLeft = remainingMs() > MIN_SEND_MS && guard.cancelReason.let { it == null || it == CancelReason.SILENCE }
-        val step = nextStep(route, end, counts, hasTimeLeft, ::takeRetry)
+        val step = nextStep(route, end, counts, hasTimeLeft, retries::take)
         if (end !is AttemptEnd.Answered || step != NextStep.Deliver) {
             log.info("forward: {} at {} ended with {} after {} ms; {}", request.id, upstream?.id, end, elapsedMs(), step)
         }
@@ -356,10 +342,6 @@
         /** With less time left a send would not be answered in time. */
         const val MIN_SEND_MS = 20L
 
-        /** Bounds of the time after which a waiting request is placed again. */
-        const val MIN_TURN_MS = 20L
-        const val MAX_TURN_MS = 40L
-
         /** Lower bound of the retry delay that callers are advised while engines have prefill pending. */
         const val MIN_BACKLOG_RETRY_MS = 300L
 
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/PrefillTurn.kt
@@ -0,0 +1,52 @@
+package org.godwitwick.node.forward
+
+import org.godwitwick.core.forward.PrefillForecast
+import org.slf4j.LoggerFactory
+
+/**
+ * Wait of one request at this instance until the engines have less prefill pending. Used by one thread. Times are counted from the
+ * arrival of the request.
+ */
+class PrefillTurn(private val context: ForwardContext, private val requestId: String, private val guard: RunGuard) {
+    private var waitingFromMs: Long? = null
+    private var service = ""
+
+    /**
+     * Waits until the request is to be placed again at [service]; returns false if it was cancelled meanwhile. [forecast] is the
+     * reason of the wait.
+     */
+    fun await(service: String, forecast: PrefillForecast, elapsedMs: Long): Boolean {
+        if (waitingFromMs == null) {
+            log.info(
+                "forward: {} waits for the engines of {}: own prefill {} ms, pending prefill {} ms",
+                requestId,
+                service,
+                forecast.partMs.toLong(),
+                forecast.backlogMs.toLong(),
+            )
+            waitingFromMs = elapsedMs
+            this.service = service
+        }
+        // Random, so that instances that wait for the same engines do not place their requests at the same moment.
+        val pauseMs = context.random.nextLong(MIN_PAUSE_MS, MAX_PAUSE_MS)
+        if (guard.pause(pauseMs)) return true
+        end(elapsedMs + pauseMs)
+        return false
+    }
+
+    /** Ends the wait, if there was one, because the request is sent. */
+    fun onSend(elapsedMs: Long) = end(elapsedMs)
+
+    private fun end(elapsedMs: Long) {
+        val fromMs = waitingFromMs ?: return
+        waitingFromMs = null
+        log.info("forward: {} waited {} ms for the engines", requestId, elapsedMs - fromMs)
+        context.metrics.recordWait(service, elapsedMs - fromMs)
+    }
+
+    private companion object {
+        const val MIN_PAUSE_MS = 20L
+        const val MAX_PAUSE_MS = 40L
+        val log = LoggerFactory.getLogger(PrefillTurn::class.java)
+    }
+}
