Take the limits of pauses from the routes and the engine's published pass

Cause: the limits of prefill time beside streams, 195 ms and 700 ms, were those of one deployment's routes, less its pass; further allows 200 ms, so a part of 195 ms beside a pass of 43 ms was always late there.

Change: PauseTargets takes them from the routes of the service, and the engine's profile gets the time of a pass (step times stride).

--- a/core/src/main/kotlin/org/godwitwick/core/forward/PlacementRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/PlacementRule.kt
@@ -68,7 +68,7 @@
     ): Placement {
         val size = demand.size
         val usable = sampleOf(candidates.filter { it.work.helping < profile.slots - RESERVED_HELP_SLOTS }.ifEmpty { candidates })
-        val engines = split.chooseEngines(demand, profile.prefillMs(size.promptTokens), usable, shared)
+        val engines = split.chooseEngines(demand, profile, usable, shared)
         val withCapacity = engines.filter { it.work.heldTokens + size.kvTokens <= profile.kvCapacityTokens }.ifEmpty { engines }
         val first = withCapacity.minBy { it.work.running + if (it in shared || it.work.shortStreams > 0) profile.slots else 0 }
         return Placement(first.entry, engines.filter { it !== first }.map { Helper(it.entry, 0) })
@@ -91,7 +91,7 @@
             sampleOf(withCapacity.ifEmpty { candidates }.filter { it.work.helping < profile.slots - RESERVED_HELP_SLOTS })
         if (usable.size <= reservationCount || reservationCount >= settings.maxEngines) return null
         val engines =
-            split.chooseEngines(demand, profile.prefillMs(size.promptTokens), usable, shared, minEngines = reservationCount + 1)
+            split.chooseEngines(demand, profile, usable, shared, minEngines = reservationCount + 1)
         val ranked = engines.sortedBy { it.work.heldTokens }
         val reserved = ranked.drop(1).take(reservationCount)
         return Placement(ranked.first().entry, ranked.drop(1).map { Helper(it.entry, if (it in reserved) partTokens else 0) })
@@ -119,8 +119,9 @@
  * A model request to be placed.
  *
  * @property targetMs target time to the first event, in milliseconds.
+ * @property pauses the longest allowed pauses of the streams beside it.
  */
-data class PlacementDemand(val size: RequestSize, val targetMs: Long)
+data class PlacementDemand(val size: RequestSize, val targetMs: Long, val pauses: PauseTargets)
 
 /**
  * Settings of [PlacementRule].
--- a/core/src/main/kotlin/org/godwitwick/core/forward/PrefillSplitRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/PrefillSplitRule.kt
@@ -16,35 +16,42 @@
     /**
      * Returns the engines among [candidates] for the prefill of [demand], at least [minEngines] of them if there are as many.
      *
-     * @param totalMs prefill time of the prompt on a single engine, in milliseconds.
      * @param shared engines to which short requests are currently sent.
      */
     fun chooseEngines(
         demand: PlacementDemand,
-        totalMs: Double,
+        profile: EngineProfile,
         candidates: List<UpstreamView>,
         shared: Set<UpstreamView>,
         minEngines: Int = 1,
     ): List<UpstreamView> {
+        val totalMs = profile.prefillMs(demand.size.promptTokens)
+        val stallLimits = StallLimits(stallMsOf(demand.pauses.shortMs, profile), stallMsOf(demand.pauses.longMs, profile))
         val maxCount = minOf(settings.maxEngines, candidates.size)
         // At least as many engines as are needed to finish the prefill within the target.
         val neededForTarget = ceil(totalMs / demand.targetMs.coerceAtLeast(1)).toInt()
         val minCount = maxOf(minEngines, neededForTarget).coerceIn(1, maxCount)
         return (minCount..maxCount).map { count ->
-            choice(demand, totalMs / count, count, candidates, shared)
+            choice(demand, stallLimits, totalMs / count, count, candidates, shared)
         }.minBy { it.cost }.engines
     }
 
+    // Prefill times in one pass above which a short and a long stream pause for too long, in milliseconds.
+    private class StallLimits(val shortMs: Double, val longMs: Double)
+
+    private fun stallMsOf(pauseMs: Double, profile: EngineProfile) = maxOf(pauseMs - profile.passMs, settings.minStallMs)
+
     private class Choice(val engines: List<UpstreamView>, val cost: Double)
 
     private fun choice(
         demand: PlacementDemand,
+        stallLimits: StallLimits,
         partMs: Double,
         count: Int,
         candidates: List<UpstreamView>,
         shared: Set<UpstreamView>,
     ): Choice {
-        val chosen = candidates.map { it to stallCostOf(it, partMs, it in shared) }
+        val chosen = candidates.map { it to stallCostOf(it, stallLimits, partMs, it in shared) }
             .sortedBy { (view, stallCost) -> stallCost + waitMs(view) / settings.msPerRequest }
             .take(count)
         val finishMs = partMs + chosen.maxOf { (view, _) -> waitMs(view) }
@@ -53,12 +60,12 @@
     }
 
     // Streams that pause for too long because of the added part, without those that already do because of pending prefill.
-    private fun stallCostOf(view: UpstreamView, partMs: Double, isShared: Boolean): Double {
+    private fun stallCostOf(view: UpstreamView, limits: StallLimits, partMs: Double, isShared: Boolean): Double {
         val short = view.work.shortStreams + if (isShared) settings.expectedSharedStreams else settings.expectedOtherStreams
         val long = view.work.running - view.work.shortStreams
         val beforeMs = view.work.pendingPrefillMs
-        return short * addedStallChance(beforeMs, partMs, settings.shortStallMs) +
-            long * settings.longStreamValue * addedStallChance(beforeMs, partMs, settings.longStallMs)
+        return short * addedStallChance(beforeMs, partMs, limits.shortMs) +
+            long * settings.longStreamValue * addedStallChance(beforeMs, partMs, limits.longMs)
     }
 
     private fun addedStallChance(beforeMs: Double, partMs: Double, limitMs: Double): Double =
@@ -82,10 +89,8 @@
  * Settings of [PrefillSplitRule].
  *
  * @property maxEngines maximum number of engines for one prefill: the first and the 16 helpers that the platform allows.
- * @property shortStallMs prefill time in one pass above which a short stream pauses for too long: its allowed pause of 250 ms
- *   less a pass of 55 ms.
- * @property longStallMs the same limit for long streams, whose allowed pauses are 600 ms to 1,000 ms.
- * @property stallSteepness exponent of the stall probability below these limits.
+ * @property minStallMs lower bound of the prefill time in one pass above which a stream pauses for too long, in milliseconds.
+ * @property stallSteepness exponent of the stall probability below that prefill time.
  * @property longStreamValue value of a long stream in short requests; the prefill of a long stream that is late was wasted.
  * @property expectedSharedStreams expected number of short streams that arrive at a shared engine during the prefill.
  * @property expectedOtherStreams the same number for an engine that is not shared.
@@ -99,8 +104,7 @@
  */
 data class PrefillSplitSettings(
     val maxEngines: Int = 17,
-    val shortStallMs: Double = 195.0,
-    val longStallMs: Double = 700.0,
+    val minStallMs: Double = 50.0,
     val stallSteepness: Double = 5.0,
     val longStreamValue: Double = 6.0,
     val expectedSharedStreams: Double = 2.0,
--- a/core/src/main/kotlin/org/godwitwick/core/forward/RoutingTable.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/RoutingTable.kt
@@ -7,6 +7,7 @@
     private val routes: Map<String, Map<String, ForwardRoute>> =
         config.routes.groupBy { it.host.lowercase() }.mapValues { (_, routes) -> routes.associateBy { it.pathPrefix } }
     private val services = config.services.associateBy { it.name }
+    private val pauseTargets = services.keys.associateWith { PauseTargets.of(config.routes, it) }
     private val organisations: Map<String, OrganisationId> =
         config.organisations.orEmpty().flatMap { entry -> entry.keys.map { it to entry.organisation } }.toMap()
 
@@ -27,6 +28,9 @@
     /** The organisation to which [key] belongs, or null. */
     fun organisationOf(key: String): OrganisationId? = organisations[key]
 
+    /** The longest allowed pauses of the streams of the service called [name], or null if it has none. */
+    fun pauseTargetsOf(name: String): PauseTargets? = pauseTargets[name]
+
     /** The service with this [name], or null. */
     fun serviceOf(name: String): ForwardService? = services[name]
 }
--- a/core/src/test/kotlin/org/godwitwick/core/forward/ForwardFixture.kt
+++ b/core/src/test/kotlin/org/godwitwick/core/forward/ForwardFixture.kt
@@ -22,7 +22,13 @@
 
 /** The engine profile that both deployments publish. */
 internal val engineProfile =
-    EngineProfile(slots = 11, kvCapacityTokens = 232_000, prefillTokensPerMs = 206.0, attentionMsPerMillionPairs = 0.138)
+    EngineProfile(
+        slots = 11,
+        kvCapacityTokens = 232_000,
+        prefillTokensPerMs = 206.0,
+        attentionMsPerMillionPairs = 0.138,
+        passMs = 44.0,
+    )
 
 internal fun upstream(id: String, isLeaving: Boolean = false, startedAtMs: Long? = 1) =
     UpstreamEntry(InstanceId(id), "model", "10.0.0.1:80", "north-a", 11, isLeaving, startedAtMs)
--- a/core/src/test/kotlin/org/godwitwick/core/forward/PlacementRuleTest.kt
+++ b/core/src/test/kotlin/org/godwitwick/core/forward/PlacementRuleTest.kt
@@ -14,8 +14,9 @@
 
 class PlacementRuleTest {
     private val rule = PlacementRule(Random(1))
-    private val short = PlacementDemand(RequestSize(5_000, 1_376), targetMs = 300)
-    private val longPrompt = PlacementDemand(RequestSize(133_000, 688), targetMs = 2_500)
+    private val pauses = PauseTargets(shortMs = 250.0, longMs = 800.0)
+    private val short = PlacementDemand(RequestSize(5_000, 1_376), targetMs = 300, pauses)
+    private val longPrompt = PlacementDemand(RequestSize(133_000, 688), targetMs = 2_500, pauses)
     private val prefilling = UpstreamWork(pendingPrefillMs = 500.0, running = 1)
     private val streaming = UpstreamWork(running = 3, shortStreams = 3)
 
@@ -82,7 +83,7 @@
 
     @Test
     fun `a prompt larger than the KV cache of one engine is held by reservations on at most 16 helpers`() {
-        val oversized = PlacementDemand(RequestSize(593_000, 1_677), targetMs = 2_500)
+        val oversized = PlacementDemand(RequestSize(593_000, 1_677), targetMs = 2_500, pauses)
         val placement = rule.place(oversized, engineProfile, fleet(23) { UpstreamWork() })
         val reserved = placement?.helpers.orEmpty().sumOf { it.reservedTokens }
         expectThat(oversized.size.kvTokens - reserved).isLessThanOrEqualTo(engineProfile.kvCapacityTokens)
@@ -95,7 +96,7 @@
     // Load pattern: very long prompts while some engines have no short streams. Guards against reservations on all other engines.
     @Test
     fun `a prompt larger than the KV cache of one engine uses only engines without short streams if they can hold it`() {
-        val veryLong = PlacementDemand(RequestSize(300_000, 700), targetMs = 2_500)
+        val veryLong = PlacementDemand(RequestSize(300_000, 700), targetMs = 2_500, pauses)
         val placement = rule.place(veryLong, engineProfile, fleet(23) { if (it <= 8) streaming else UpstreamWork() })
         expectThat(membersOf(placement)).isNotEmpty().all { get { removePrefix("engine-").toInt() }.isGreaterThanOrEqualTo(9) }
     }
@@ -104,7 +105,7 @@
     // engines.
     @Test
     fun `a prompt that stalls short streams in any case is prefilled on few engines within its target`() {
-        val veryLong = PlacementDemand(RequestSize(300_000, 700), targetMs = 2_500)
+        val veryLong = PlacementDemand(RequestSize(300_000, 700), targetMs = 2_500, pauses)
         val members = membersOf(rule.place(veryLong, engineProfile, fleet(23) { UpstreamWork(running = it, shortStreams = it) }))
         val partMs = engineProfile.prefillMs(veryLong.size.promptTokens) / members.size
         expectThat(partMs).isLessThanOrEqualTo(veryLong.targetMs.toDouble())
@@ -151,7 +152,7 @@
     fun `a prompt that exceeds the KV cache of all engines together is not placed`() {
         expectThat(
             rule.place(
-                PlacementDemand(RequestSize(593_000, 1_677), 2_500),
+                PlacementDemand(RequestSize(593_000, 1_677), 2_500, pauses),
                 engineProfile,
                 fleet(3) {
                     UpstreamWork()
--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
@@ -2,6 +2,7 @@
 
 import org.godwitwick.core.forward.CallerWait
 import org.godwitwick.core.forward.ForwardRoute
+import org.godwitwick.core.forward.PauseTargets
 import org.godwitwick.core.forward.PlacementRule
 import org.godwitwick.core.forward.PlacementSettings
 import org.godwitwick.core.forward.PrefillSplitRule
@@ -48,7 +49,6 @@
                 tokensPerRequest = 10_000.0,
                 longStreamValue = 3.0,
                 expectedOtherStreams = 0.15,
-                longStallMs = 500.0,
             ),
         )
     }
@@ -84,7 +84,7 @@
         val entry =
             UpstreamEntry(
                 InstanceId("engine-$i"),
-                "llm",
+                SERVICE,
                 "engine-$i:1",
                 "dc",
                 mix.speed.profile.slots,
@@ -113,6 +113,8 @@
     private val inProgress = HashMap<ModelRequest, Sent>()
     private val streamTimeouts = StreamTimeoutRule(STALL_MS)
     private val routes = mix.kinds.associateWith(::routeOf)
+    private val pauses = PauseTargets.of(routes.values.toList(), SERVICE)
+    private val profile = mix.speed.profile.copy(passMs = mix.speed.stepMs * mix.speed.stepsPerPass)
     private val instances = ArrayList<Instance>().apply { repeat(mix.instances) { add(Instance(it, variant, seed)) } }
     private val byId = instances.associateBy { it.registered.id }
     private val peersOf = instances.associateWith { self -> instances.filter { it !== self }.map { it.registered } }
@@ -157,8 +159,8 @@
         val sinceMs = (if (request.lastEventMs.isNaN()) request.arrivedMs else request.lastEventMs).toLong()
         val targetMs = if (request.lastEventMs.isNaN()) request.kind.targetMs else request.kind.pauseTargetMs
         val wait = CallerWait(sinceMs, targetMs, sinceMs + request.patienceMs.toLong())
-        val demand = ForwardDemand(size, wait, isStreaming = true)
-        val decision = instance.placer.place(demand, mix.speed.profile, engines.keys.toList(), nowMs.toLong())
+        val demand = ForwardDemand(size, wait, isStreaming = true, pauses)
+        val decision = instance.placer.place(demand, profile, engines.keys.toList(), nowMs.toLong())
         when (decision) {
             is PlacementDecision.Send -> begin(request, size, decision.work, instance)
 
@@ -223,7 +225,7 @@
         timeoutMs = TIMEOUT_MS,
         targetMs = kind.targetMs,
         gapTargetMs = kind.pauseTargetMs,
-        split = listOf(WeightedService("llm", 1.0)),
+        split = listOf(WeightedService(SERVICE, 1.0)),
         maxRuns = 2,
         isPublic = true,
     )
@@ -235,6 +237,7 @@
     fun utilisation(): Double = engines.values.sumOf { it.busyMs } / (mix.seconds * MS_PER_S * engines.size)
 
     private companion object {
+        const val SERVICE = "llm"
         const val DATA_CENTRES = 5
         const val EXCHANGE_MS = 200.0
         const val HOP_MS = 2.0
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
@@ -25,7 +25,8 @@
     fun place(service: ForwardService?, serviceName: String, route: ForwardRoute, wait: CallerWait): PlacementDecision {
         val known = context.fleetView.upstreams[serviceName].orEmpty().filter { it.address !in avoided }
         val untried = known.filter { it !in tried }.ifEmpty { known }
-        val demand = ForwardDemand(request.size, wait, route.kind is RouteKind.Streaming)
+        val pauses = context.fleetView.routing.table?.pauseTargetsOf(serviceName)
+        val demand = ForwardDemand(request.size, wait, route.kind is RouteKind.Streaming, pauses)
         return context.placer.place(demand, service?.engine, untried, Clocks.steadyMs())
     }
 }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
@@ -2,6 +2,7 @@
 
 import org.godwitwick.core.forward.CallerWait
 import org.godwitwick.core.forward.EngineProfile
+import org.godwitwick.core.forward.PauseTargets
 import org.godwitwick.core.forward.Placement
 import org.godwitwick.core.forward.PlacementDemand
 import org.godwitwick.core.forward.PlacementRule
@@ -18,16 +19,17 @@
  *
  * @property size size in tokens, or null for requests to plain services.
  * @property wait the caller's wait for the answer, or for the next event of a stream.
+ * @property pauses the longest allowed pauses of the service's streams, or null if it has none.
  */
-data class ForwardDemand(val size: RequestSize?, val wait: CallerWait, val isStreaming: Boolean)
+data class ForwardDemand(val size: RequestSize?, val wait: CallerWait, val isStreaming: Boolean, val pauses: PauseTargets?)
 
 /** Decision on a [ForwardDemand]. */
 sealed interface PlacementDecision {
     /** The request is sent as [work] says. */
     data class Send(val work: PlacedWork) : PlacementDecision
 
-    /** The engines have too much prefill pending; the request is placed again a little later. */
-    data object Wait : PlacementDecision
+    /** The engines have too much prefill pending for a prefill as in [forecast]; the request is placed again a little later. */
+    data class Wait(val forecast: PrefillForecast) : PlacementDecision
 
     /** The request cannot be answered in time; the engines may take it after [retryAfterMs]. */
     data class Reject(val retryAfterMs: Long) : PlacementDecision
@@ -64,7 +66,7 @@
         val forecast = PrefillForecast(prefillMs, queuedPrefillMs.values.maxOrNull() ?: 0.0)
         return when (val start = startRule.decide(demand.wait, forecast, nowMs)) {
             is PrefillStart.Begin -> PlacementDecision.Send(work)
-            is PrefillStart.Wait -> PlacementDecision.Wait
+            is PrefillStart.Wait -> PlacementDecision.Wait(forecast)
             is PrefillStart.Reject -> PlacementDecision.Reject(start.retryAfterMs)
         }
     }
@@ -83,8 +85,8 @@
         knownShare: Double,
     ): Placement? {
         val size = demand.size
-        if (engine == null || size == null) return rule.place(views)
-        return rule.place(PlacementDemand(size, demand.wait.targetMs), engine, views, knownShare)
+        if (engine == null || size == null || demand.pauses == null) return rule.place(views)
+        return rule.place(PlacementDemand(size, demand.wait.targetMs, demand.pauses), engine, views, knownShare)
     }
 
     private fun viewOf(entry: UpstreamEntry, others: PeerWork, nowMs: Long): UpstreamView {
