--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardExperimentCommand.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardExperimentCommand.kt
@@ -1,6 +1,5 @@
 package org.godwitwick.lab.forward
 
-import org.godwitwick.core.forward.PrefillStartSettings
 import picocli.CommandLine
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
@@ -74,8 +73,9 @@
         const val MS_PER_S = 1e3
         val VARIANTS = listOf(
             PlacementVariant.CURRENT,
-            PlacementVariant("silence-is-loss", toleratesPrefill = false),
-            PlacementVariant("no-wait", start = PrefillStartSettings(backlogWeight = 0.0, idleBacklogMs = Double.MAX_VALUE)),
+            PlacementVariant.SILENCE_IS_LOSS,
+            PlacementVariant.NO_WAIT,
+            PlacementVariant.MORE_SHARED,
             PlacementVariant.PREVIOUS,
         )
     }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -1,14 +1,11 @@
 package org.godwitwick.node.forward
 
 import com.github.michaelbull.result.getOrElse
-import org.godwitwick.core.error.ErrorKind
-import org.godwitwick.core.error.Executed
 import org.godwitwick.core.error.Failure
 import org.godwitwick.core.forward.AdmittedTarget
 import org.godwitwick.core.forward.AttemptEnd
 import org.godwitwick.core.forward.CallerWait
 import org.godwitwick.core.forward.ForwardRoute
-import org.godwitwick.core.forward.ForwardService
 import org.godwitwick.core.forward.ForwardTarget
 import org.godwitwick.core.forward.NextStep
 import org.godwitwick.core.forward.Placement
@@ -100,8 +97,8 @@
         val work = when (val decision = placer.place(spec, serviceName, admitted.route, callerWait(admitted.route))) {
             is PlacementDecision.Send -> decision.work.also { turn.onSend(elapsedMs()) }
             is PlacementDecision.Wait -> return awaitTurn(decision.forecast)
-            is PlacementDecision.Reject -> return Outcome.Failed(backlogFailure(decision.retryAfterMs))
-            is PlacementDecision.NoUpstream -> return Outcome.Failed(placementFailure(spec))
+            is PlacementDecision.Reject -> return Outcome.Failed(RunFailures.backlog(decision.retryAfterMs))
+            is PlacementDecision.NoUpstream -> return Outcome.Failed(placementFailure(serviceName))
         }
         val placement = work.placement
         val progress = context.loads.begin(work, Clocks.steadyMs())
@@ -149,16 +146,9 @@
     // admitted again as well.
     private fun awaitTurn(forecast: PrefillForecast): Outcome? {
         if (turn.await(service.orEmpty(), forecast, elapsedMs())) return null
-        val failure = deadlineFailure() ?: Failure(ErrorKind.CANCELLED, "the caller disconnected", Executed.NO)
-        return Outcome.Failed(failure)
+        return Outcome.Failed(deadlineFailure() ?: RunFailures.callerGone())
     }
 
-    private fun backlogFailure(retryAfterMs: Long) = Failure(
-        ErrorKind.OVERLOADED,
-        "the engines have too much prefill pending to answer in time",
-        retryAfterMs = maxOf(retryAfterMs, MIN_BACKLOG_RETRY_MS),
-    )
-
     private fun send(call: UpstreamCall, route: ForwardRoute, placement: Placement): SendResult {
         val limitMs = context.streamTimeouts.firstEventTimeoutMs(route, counts.mayHaveRun)
         val engines = placement.helpers.map { it.upstream } + placement.upstream
@@ -183,7 +173,15 @@
             guard.restartSilenceTimer(eventGapTimeoutMs, Clocks.steadyMs())
             Outcome.Stream(UpstreamStream(open.head, upstream, first, open, reader, endAttempt))
         } else if (source.request(MAX_BUFFERED_BYTES + 1)) {
-            Outcome.Single(open.head, ByteArray(0), LargeBody(open, endAttempt), upstream)
+            Outcome.Single(
+                open.head,
+                ByteArray(0),
+                LargeBody(open) {
+                    endAttempt()
+                    onEnd()
+                },
+                upstream,
+            )
         } else {
             val bytes = source.readByteArray()
             open.close()
@@ -239,12 +237,8 @@
         context.loads.penalise(atFault, Clocks.steadyMs())
     }
 
-    private fun placementFailure(spec: ForwardService?): Failure {
-        lastEnd?.let { return failureOf(it, counts) }
-        val isKnown = context.fleetView.upstreams[spec?.name].orEmpty().isNotEmpty()
-        if (isKnown) return Failure(ErrorKind.OVERLOADED, "the engines together have too little free KV cache for the prompt")
-        return Failure(ErrorKind.NO_UPSTREAM, "no upstream of the service is registered", retryAfterMs = NO_UPSTREAM_RETRY_MS)
-    }
+    private fun placementFailure(serviceName: String): Failure = lastEnd?.let { failureOf(it, counts) }
+        ?: RunFailures.noPlacement(isServiceKnown = context.fleetView.upstreams[serviceName].orEmpty().isNotEmpty())
 
     private fun streamResponse(stream: UpstreamStream): Response {
         firstByteMs = elapsedMs()
@@ -293,8 +287,7 @@
 
     private fun deadlineFailure(): Failure? {
         if (guard.cancelReason != CancelReason.TIMEOUT && remainingMs() > 0) return null
-        val ran = if (counts.mayHaveRun > 0) Executed.UNKNOWN else Executed.NO
-        return Failure(ErrorKind.DEADLINE_EXCEEDED, "the deadline of the request has passed", ran)
+        return RunFailures.deadline(counts)
     }
 
     private fun recordEnd(upstream: UpstreamEntry?, outcome: String) {
@@ -319,21 +312,6 @@
 
     private fun remainingMs(): Long = guard.deadlineMs - Clocks.steadyMs()
 
-    // A body that is too large to be buffered is forwarded as it arrives.
-    private inner class LargeBody(private val open: SendResult.Open, private val endAttempt: () -> Unit) : InputStream() {
-        private val input = open.response.body.byteStream()
-
-        override fun read(): Int = input.read()
-
-        override fun read(target: ByteArray, offset: Int, length: Int): Int = input.read(target, offset, length)
-
-        override fun close() {
-            open.close()
-            endAttempt()
-            onEnd()
-        }
-    }
-
     private companion object {
         const val OK = 200
         const val SERVER_ERROR = 500
@@ -341,12 +319,6 @@
 
         /** With less time left a send would not be answered in time. */
         const val MIN_SEND_MS = 20L
-
-        /** Lower bound of the retry delay that callers are advised while engines have prefill pending. */
-        const val MIN_BACKLOG_RETRY_MS = 300L
-
-        /** Retry delay that callers are advised; upstreams renew their registration about once a second. */
-        const val NO_UPSTREAM_RETRY_MS = 500L
         val log = LoggerFactory.getLogger(ForwardRun::class.java)
     }
 }
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunFailures.kt
@@ -0,0 +1,42 @@
+package org.godwitwick.node.forward
+
+import org.godwitwick.core.error.ErrorKind
+import org.godwitwick.core.error.Executed
+import org.godwitwick.core.error.Failure
+import org.godwitwick.core.forward.SendCounts
+
+/** The failures of a request that was not sent, or whose time is over. */
+internal object RunFailures {
+    /** The engines cannot answer the request before its caller leaves; they may take it after [retryAfterMs]. */
+    fun backlog(retryAfterMs: Long) = Failure(
+        ErrorKind.OVERLOADED,
+        "the engines have too much prefill pending to answer in time",
+        retryAfterMs = maxOf(retryAfterMs, MIN_BACKLOG_RETRY_MS),
+    )
+
+    /** No upstream can take the request. */
+    fun noPlacement(isServiceKnown: Boolean): Failure {
+        if (isServiceKnown) {
+            return Failure(
+                ErrorKind.OVERLOADED,
+                "the engines together have too little free KV cache for the prompt",
+            )
+        }
+        return Failure(ErrorKind.NO_UPSTREAM, "no upstream of the service is registered", retryAfterMs = NO_UPSTREAM_RETRY_MS)
+    }
+
+    /** The deadline has passed after the sends in [counts]. */
+    fun deadline(counts: SendCounts): Failure {
+        val ran = if (counts.mayHaveRun > 0) Executed.UNKNOWN else Executed.NO
+        return Failure(ErrorKind.DEADLINE_EXCEEDED, "the deadline of the request has passed", ran)
+    }
+
+    /** The caller disconnected while the request waited. */
+    fun callerGone() = Failure(ErrorKind.CANCELLED, "the caller disconnected", Executed.NO)
+
+    /** Lower bound of the retry delay that callers are advised while engines have prefill pending. */
+    private const val MIN_BACKLOG_RETRY_MS = 300L
+
+    /** Retry delay that callers are advised; upstreams renew their registration about once a second. */
+    private const val NO_UPSTREAM_RETRY_MS = 500L
+}
