Bound the requests that wait for engines, and ask for pending prefill rarely

At most a third of the requests in flight may wait at an instance, so that waiting long prompts never keep short requests out; further ones are rejected at once. Whether an engine prefills is asked only in the second half of the silence limit: the answer adds up the reports of all instances, and most silences are over before.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/SilenceTimer.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/SilenceTimer.kt
@@ -25,11 +25,14 @@
     /**
      * Whether the limit has been exceeded at [nowMs].
      *
-     * @param isPrefilling whether the upstream is expected to be prefilling at [nowMs].
+     * @param isPrefilling returns whether the upstream is expected to be prefilling at [nowMs]; called only in the second half of
+     *   the limit, because most silences are short and the answer is expensive.
      */
-    fun isExceeded(nowMs: Long, isPrefilling: Boolean): Boolean {
+    fun isExceeded(nowMs: Long, isPrefilling: () -> Boolean): Boolean {
         val fromMs = silentFromMs ?: return false
-        if (isPrefilling) silentFromMs = nowMs
-        return !isPrefilling && nowMs - fromMs >= limitMs
+        if (nowMs - fromMs < limitMs / 2) return false
+        if (!isPrefilling()) return nowMs - fromMs >= limitMs
+        silentFromMs = nowMs
+        return false
     }
 }
--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
@@ -224,8 +224,9 @@
 
     private fun isSilentTooLong(request: ModelRequest, sent: Sent): Boolean {
         if (request.lastEventMs > sent.lastSignMs) sent.restartTimer(request.lastEventMs, eventGapTimeoutMs(request))
-        val isPrefilling = variant.toleratesPrefill && sent.instance.placer.isPrefilling(sent.engines, nowMs.toLong())
-        return sent.silence.isExceeded(nowMs.toLong(), isPrefilling)
+        return sent.silence.isExceeded(nowMs.toLong()) {
+            variant.toleratesPrefill && sent.instance.placer.isPrefilling(sent.engines, nowMs.toLong())
+        }
     }
 
     private fun eventGapTimeoutMs(request: ModelRequest) =
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
@@ -20,6 +20,7 @@
     val reservations: Reservations,
     val loads: UpstreamLoads,
     val budgets: RetryBudgets,
+    val prefillQueue: PrefillQueue,
     val metrics: ForwardMetrics,
     val random: Random,
     val onLongPromptPlaced: () -> Unit,
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -59,6 +59,7 @@
             { reserveShareOf(settings.retryReserve, peers.fleet.largestCount) },
             settings.retryWindowMs + settings.retryWindowMs / RETRY_WINDOW_SLOTS,
         ),
+        prefillQueue = PrefillQueue(MAX_WAITING),
         metrics = ForwardMetrics(metrics.registry),
         random = Random.Default,
         onLongPromptPlaced = peers::sendLoadSoon,
@@ -169,6 +170,9 @@
         /** Each request in flight occupies a thread. */
         const val WORKER_THREADS = 160
         const val MAX_IN_FLIGHT = 150
+
+        /** A third of the requests in flight, so that waiting ones never keep short requests out. */
+        const val MAX_WAITING = 50
         const val OPERATION_THREADS = 2
         const val MAX_HEADER_BYTES = 64 * 1024
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -71,13 +71,19 @@
         is Outcome.Failed -> failedResponse(outcome.failure)
     }
 
-    private fun runAttempts(lastEventId: Long?): Outcome {
-        while (true) {
-            val admitted = admit().getOrElse { return Outcome.Failed(it) }
-            val serviceName = service ?: admitted.route.serviceFor(context.random.nextDouble()).also { onServiceChosen(it) }
-            val outcome = attempt(admitted, serviceName, lastEventId) ?: continue
-            return outcome
-        }
+    private fun runAttempts(lastEventId: Long?): Outcome = try {
+        var outcome: Outcome? = null
+        while (outcome == null) outcome = nextAttempt(lastEventId)
+        outcome
+    } finally {
+        turn.end(elapsedMs())
+    }
+
+    // Returns null if the request is to be placed again.
+    private fun nextAttempt(lastEventId: Long?): Outcome? {
+        val admitted = admit().getOrElse { return Outcome.Failed(it) }
+        val serviceName = service ?: admitted.route.serviceFor(context.random.nextDouble()).also { onServiceChosen(it) }
+        return attempt(admitted, serviceName, lastEventId)
     }
 
     private fun onServiceChosen(serviceName: String) {
@@ -95,7 +101,7 @@
     private fun attempt(admitted: AdmittedTarget, serviceName: String, lastEventId: Long?): Outcome? {
         val spec = context.fleetView.routing.table?.serviceOf(serviceName)
         val work = when (val decision = placer.place(spec, serviceName, admitted.route, callerWait(admitted.route))) {
-            is PlacementDecision.Send -> decision.work.also { turn.onSend(elapsedMs()) }
+            is PlacementDecision.Send -> decision.work.also { turn.end(elapsedMs()) }
             is PlacementDecision.Wait -> return awaitTurn(decision.forecast)
             is PlacementDecision.Reject -> return Outcome.Failed(RunFailures.backlog(decision.retryAfterMs))
             is PlacementDecision.NoUpstream -> return Outcome.Failed(placementFailure(serviceName))
@@ -145,7 +151,15 @@
     // Returns null if the request is to be placed again. The caller's key may have been revoked meanwhile, so the request is
     // admitted again as well.
     private fun awaitTurn(forecast: PrefillForecast): Outcome? {
-        if (turn.await(service.orEmpty(), forecast, elapsedMs())) return null
+        if (!turn.begin(
+                service.orEmpty(),
+                forecast,
+                elapsedMs(),
+            )
+        ) {
+            return Outcome.Failed(RunFailures.backlog(forecast.backlogMs.toLong()))
+        }
+        if (turn.await()) return null
         return Outcome.Failed(deadlineFailure() ?: RunFailures.callerGone())
     }
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/PrefillTurn.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/PrefillTurn.kt
@@ -12,34 +12,35 @@
     private var service = ""
 
     /**
-     * Waits until the request is to be placed again at [service]; returns false if it was cancelled meanwhile. [forecast] is the
-     * reason of the wait.
+     * Begins the wait at [service], unless it has begun; returns false if too many requests wait already. [forecast] is the reason of
+     * the wait.
      */
-    fun await(service: String, forecast: PrefillForecast, elapsedMs: Long): Boolean {
-        if (waitingFromMs == null) {
-            log.info(
-                "forward: {} waits for the engines of {}: own prefill {} ms, pending prefill {} ms",
-                requestId,
-                service,
-                forecast.partMs.toLong(),
-                forecast.backlogMs.toLong(),
-            )
-            waitingFromMs = elapsedMs
-            this.service = service
-        }
-        // Random, so that instances that wait for the same engines do not place their requests at the same moment.
-        val pauseMs = context.random.nextLong(MIN_PAUSE_MS, MAX_PAUSE_MS)
-        if (guard.pause(pauseMs)) return true
-        end(elapsedMs + pauseMs)
-        return false
+    fun begin(service: String, forecast: PrefillForecast, elapsedMs: Long): Boolean {
+        if (waitingFromMs != null) return true
+        if (!context.prefillQueue.tryEnter()) return false
+        log.info(
+            "forward: {} waits for the engines of {}: own prefill {} ms, pending prefill {} ms",
+            requestId,
+            service,
+            forecast.partMs.toLong(),
+            forecast.backlogMs.toLong(),
+        )
+        waitingFromMs = elapsedMs
+        this.service = service
+        return true
     }
 
-    /** Ends the wait, if there was one, because the request is sent. */
-    fun onSend(elapsedMs: Long) = end(elapsedMs)
+    /** Waits until the request is to be placed again; returns false if it was cancelled meanwhile. */
+    fun await(): Boolean {
+        // Random, so that instances that wait for the same engines do not place their requests at the same moment.
+        return guard.pause(context.random.nextLong(MIN_PAUSE_MS, MAX_PAUSE_MS))
+    }
 
-    private fun end(elapsedMs: Long) {
+    /** Ends the wait, if there is one. */
+    fun end(elapsedMs: Long) {
         val fromMs = waitingFromMs ?: return
         waitingFromMs = null
+        context.prefillQueue.leave()
         log.info("forward: {} waited {} ms for the engines", requestId, elapsedMs - fromMs)
         context.metrics.recordWait(service, elapsedMs - fromMs)
     }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunGuard.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunGuard.kt
@@ -72,7 +72,8 @@
     @Synchronized
     private fun cancelIfSilent(nowMs: Long) {
         val policy = silencePolicy ?: return
-        if (silence.isExceeded(nowMs, policy.isPrefilling(nowMs)) && policy.reserveRetry(nowMs)) cancel(CancelReason.SILENCE)
+        val isExceeded = silence.isExceeded(nowMs) { policy.isPrefilling(nowMs) }
+        if (isExceeded && policy.reserveRetry(nowMs)) cancel(CancelReason.SILENCE)
     }
 
     /** Waits for [ms], or until the request is cancelled; returns whether it may go on. */
