--- a/core/src/main/kotlin/org/godwitwick/core/forward/SilenceTimer.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/SilenceTimer.kt
@@ -9,11 +9,13 @@
  */
 class SilenceTimer {
     private var silentFromMs: Long? = null
+    private var unexplainedFromMs = 0L
     private var limitMs = 0L
 
     /** Starts a new measurement at [nowMs]: the upstream may be silent for [limitMs] from now; null means no limit. */
     fun restart(limitMs: Long?, nowMs: Long) {
         silentFromMs = limitMs?.let { nowMs }
+        unexplainedFromMs = nowMs
         this.limitMs = limitMs ?: 0
     }
 
@@ -25,14 +27,13 @@
     /**
      * Whether the limit has been exceeded at [nowMs].
      *
-     * @param isPrefilling returns whether the upstream is expected to be prefilling at [nowMs]; called only in the second half of
-     *   the limit, because most silences are short and the answer is expensive.
+     * @param isPrefilling returns whether the upstream is expected to be prefilling at [nowMs]; called only after half of the
+     *   limit, because most silences are short and the answer is expensive.
      */
     fun isExceeded(nowMs: Long, isPrefilling: () -> Boolean): Boolean {
         val fromMs = silentFromMs ?: return false
         if (nowMs - fromMs < limitMs / 2) return false
-        if (!isPrefilling()) return nowMs - fromMs >= limitMs
-        silentFromMs = nowMs
-        return false
+        if (isPrefilling()) unexplainedFromMs = nowMs
+        return nowMs - unexplainedFromMs >= limitMs
     }
 }
