--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -46,6 +46,7 @@
     private var lastEnd: AttemptEnd? = null
     private var firstByteMs: Long? = null
 
+    // Also read by the thread that checks the guards.
     @Volatile
     private var service: String? = null
     private val retries = RunRetries(context) { service.orEmpty() }
@@ -97,7 +98,7 @@
         Clocks.read(),
     )
 
-    // Returns null if another upstream is to be tried.
+    // Returns null if the request is to be placed again, at another upstream or later.
     private fun attempt(admitted: AdmittedTarget, serviceName: String, lastEventId: Long?): Outcome? {
         val spec = context.fleetView.routing.table?.serviceOf(serviceName)
         val work = when (val decision = placer.place(spec, serviceName, admitted.route, callerWait(admitted.route))) {
@@ -151,14 +152,8 @@
     // Returns null if the request is to be placed again. The caller's key may have been revoked meanwhile, so the request is
     // admitted again as well.
     private fun awaitTurn(forecast: PrefillForecast): Outcome? {
-        if (!turn.begin(
-                service.orEmpty(),
-                forecast,
-                elapsedMs(),
-            )
-        ) {
-            return Outcome.Failed(RunFailures.backlog(forecast.backlogMs.toLong()))
-        }
+        val hasBegun = turn.begin(service.orEmpty(), forecast, elapsedMs())
+        if (!hasBegun) return Outcome.Failed(RunFailures.backlog(forecast.backlogMs.toLong()))
         if (turn.await()) return null
         return Outcome.Failed(deadlineFailure() ?: RunFailures.callerGone())
     }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
@@ -55,8 +55,7 @@
     fun place(demand: ForwardDemand, engine: EngineProfile?, candidates: List<UpstreamEntry>, nowMs: Long): PlacementDecision {
         val others = peerLoads.at(nowMs)
         val views = candidates.shuffled(random).map { viewOf(it, others, nowMs) }
-        val placement =
-            placementOf(demand, engine, views, knownShare(others)) ?: return PlacementDecision.NoUpstream
+        val placement = placementOf(demand, engine, views, knownShare(others)) ?: return PlacementDecision.NoUpstream
         val isShortStream = demand.isStreaming && demand.size?.isShort != false
         val engineIds = placement.helpers.mapTo(hashSetOf(placement.upstream.id)) { it.upstream.id }
         val queuedPrefillMs = views.filter { it.entry.id in engineIds }.associate { it.entry.id to it.work.pendingPrefillMs }
