Log the prompt's shared parts and the delivered events of each send that fails

When engines crashed one after another, the logs could not tell whether the requests on them had anything in common, nor which of them had begun to stream. Each line of a failed send now has the ids of the parts that other prompts may share and the number of events.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMessages.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMessages.kt
@@ -10,6 +10,7 @@
  * @property target path and query as they were sent.
  * @property timeoutMs time that the caller waits for the answer, or null if it states none.
  * @property size size of the prompt and of the answer in tokens, or null for requests to plain services.
+ * @property sharedParts ids of the parts of the prompt that other requests may have as well; its own last part is left out.
  * @property lastEventId id of the last event of an earlier stream that the caller continues, or null.
  * @property headers headers that are forwarded unchanged.
  */
@@ -21,6 +22,7 @@
     val timeoutMs: Long?,
     val key: String?,
     val size: RequestSize?,
+    val sharedParts: List<String>,
     val lastEventId: Long?,
     val headers: List<Pair<String, String>>,
 ) {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -53,6 +53,7 @@
     private var eventGapTimeoutMs: Long? = null
     private var lastEventMs = 0L
     private var longestPauseMs = 0L
+    private var eventsOfAttempt = 0
 
     /** Outcome of a request: a stream or a single answer to forward, or the failure to report to the caller. */
     private sealed interface Outcome {
@@ -121,6 +122,7 @@
             reservedHelpers.release()
         }
         placer.markTried(placement.upstream)
+        eventsOfAttempt = 0
         val call = UpstreamCall(
             request,
             placement.upstream,
@@ -223,7 +225,16 @@
         val hasTimeLeft = remainingMs() > MIN_SEND_MS && guard.cancelReason.let { it == null || it == CancelReason.SILENCE }
         val step = nextStep(route, end, counts, hasTimeLeft, retries::take)
         if (end !is AttemptEnd.Answered || step != NextStep.Deliver) {
-            log.info("forward: {} at {} ended with {} after {} ms; {}", request.id, upstream?.id, end, elapsedMs(), step)
+            log.info(
+                "forward: {} at {} ended with {} after {} ms and {} events, prompt parts {}; {}",
+                request.id,
+                upstream?.id,
+                end,
+                elapsedMs(),
+                eventsOfAttempt,
+                request.sharedParts.take(MAX_LOGGED_PARTS),
+                step,
+            )
         }
         return when (step) {
             is NextStep.Deliver -> answer ?: Outcome.Failed(failureOf(end, counts))
@@ -261,6 +272,7 @@
         val nowMs = elapsedMs()
         if (lastEventMs > 0) longestPauseMs = maxOf(longestPauseMs, nowMs - lastEventMs)
         lastEventMs = nowMs
+        eventsOfAttempt++
         guard.restartSilenceTimer(eventGapTimeoutMs, Clocks.steadyMs())
     }
 
@@ -328,6 +340,9 @@
 
         /** With less time left a send would not be answered in time. */
         const val MIN_SEND_MS = 20L
+
+        /** Bounds the length of a log line. */
+        const val MAX_LOGGED_PARTS = 8
         val log = LoggerFactory.getLogger(ForwardRun::class.java)
     }
 }
