Refuse requests with a part of the prompt that crashes engines

Cause: each request was judged by its own sends only. Nothing remembered what the requests on a crashed engine had in common, so requests of which no two are equal crashed two engines each. The log with parts showed it: of 63 parts in broken sends one had 73 breaks, none after an event; all others had events. That rules out that the sends counted were repeats only.

TraitQuarantine counts the upstreams that crashed with a part of the prompt or with equal requests before these had begun to stream. Three crashes without an answer since, not explained by another trait and not at the same moment, end in a quarantine; instances send each other their observations at once, and again to those that may have missed them. Refusals say "not run", which is true.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/AttemptEnd.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/AttemptEnd.kt
@@ -15,6 +15,10 @@
     /** No part of the request was written to the upstream. */
     data class NotSent(val cause: String) : AttemptEnd
 
-    /** The request was sent, but no complete answer was received; the request may have run. */
-    data class Broken(val cause: String) : AttemptEnd
+    /**
+     * The request was sent, but no complete answer was received; the request may have run.
+     *
+     * @property isConnectionLost whether the connection ended without this side closing it, as when the upstream crashes.
+     */
+    data class Broken(val cause: String, val isConnectionLost: Boolean = false) : AttemptEnd
 }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/EventRelay.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/EventRelay.kt
@@ -48,8 +48,12 @@
 
     private fun accept(event: ServerEvent) {
         val last = lastEventId
-        val id = event.id ?: throw IOException("the upstream sent an event without an id")
-        if (last != null && id != last + 1) throw IOException("event $id follows event $last, but ids must increase by 1")
+        val id = event.id ?: throw MalformedAnswerException("the upstream sent an event without an id")
+        if (last != null &&
+            id != last + 1
+        ) {
+            throw MalformedAnswerException("event $id follows event $last, but ids must increase by 1")
+        }
         lastEventId = id
         onEvent()
     }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -130,7 +130,14 @@
 
     private fun endOf(e: IOException, gate: WriteGate, guard: RunGuard): AttemptEnd {
         val cause = guard.causeOf(e)
-        return if (gate.mayBeWritten) AttemptEnd.Broken(cause) else AttemptEnd.NotSent(cause)
+        return if (gate.mayBeWritten) {
+            AttemptEnd.Broken(
+                cause,
+                isConnectionLost = guard.cancelReason == null,
+            )
+        } else {
+            AttemptEnd.NotSent(cause)
+        }
     }
 
     private fun requestOf(call: UpstreamCall, body: ByteArray, gate: WriteGate): Request {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
@@ -21,6 +21,7 @@
     val loads: UpstreamLoads,
     val budgets: RetryBudgets,
     val prefillQueue: PrefillQueue,
+    val crashGuard: CrashGuard,
     val metrics: ForwardMetrics,
     val random: Random,
     val onLongPromptPlaced: () -> Unit,
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
@@ -1,11 +1,12 @@
 package org.godwitwick.node.forward
 
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 
-/** Metrics of forwarded requests. */
-class ForwardMetrics(registry: PrometheusRegistry) {
+/** Metrics of forwarded requests; [quarantinedCount] returns the number of traits for which requests are refused. */
+class ForwardMetrics(registry: PrometheusRegistry, quarantinedCount: () -> Int) {
     private val requests = Counter.builder()
         .name("godwitwick_forwarded_requests_total")
         .help("Ended requests by service and outcome.")
@@ -28,6 +29,14 @@
         "Time that long prompts waited at this instance because the engines had prefill pending.",
     )
 
+    init {
+        GaugeWithCallback.builder()
+            .name("godwitwick_forward_quarantined_traits")
+            .help("Parts of prompts, or whole requests, that are refused because upstreams crashed with them.")
+            .callback { it.call(quarantinedCount().toDouble()) }
+            .register(registry)
+    }
+
     /** Records that a request to [service] waited for [waitedMs] before it was sent or failed. */
     fun recordWait(service: String, waitedMs: Long) = waiting.labelValues(service).observe(waitedMs / MS_PER_SECOND)
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -38,7 +38,8 @@
     private val peerLoads = PeerLoads()
     private val self = RegisteredInstance(InstanceId(settings.instanceName), settings.dataCentre, settings.peerAddress)
     private val caches = listOf(CONFIG_FEED, UPSTREAM_FEED).associateWith { FeedCache(Clocks::read) }
-    private val peers = ForwardPeers(self, registry, loads, peerLoads, caches)
+    private val crashGuard = CrashGuard(Clocks::steadyMs) { rows -> peers.sendQuarantine(rows) }
+    private val peers: ForwardPeers = ForwardPeers(self, registry, loads, peerLoads, caches, crashGuard)
     private val freshness = KeyFreshness(settings.revocationMs)
     private val fleetView = FleetView(control, loads, Clocks::steadyMs)
     private val client = ForwardClient(dialect, CONNECT_TIMEOUT_MS)
@@ -60,7 +61,8 @@
             settings.retryWindowMs + settings.retryWindowMs / RETRY_WINDOW_SLOTS,
         ),
         prefillQueue = PrefillQueue(MAX_WAITING),
-        metrics = ForwardMetrics(metrics.registry),
+        crashGuard = crashGuard,
+        metrics = ForwardMetrics(metrics.registry, crashGuard::quarantinedCount),
         random = Random.Default,
         onLongPromptPlaced = peers::sendLoadSoon,
     )
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.get
+import org.godwitwick.core.health.TraitRow
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.peer.FeedAnswer
 import org.godwitwick.node.peer.FeedPull
@@ -12,15 +13,18 @@
 import org.godwitwick.node.peer.PeerDirectory
 import org.godwitwick.node.peer.PeerIdentity
 import org.godwitwick.node.peer.PeerTransport
+import org.godwitwick.node.peer.QuarantineRows
 import org.slf4j.LoggerFactory
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.Executors
 import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.random.Random
 
 /**
- * Finds the other instances through the registry, exchanges loads with them, and answers their pulls of the store's feeds.
+ * Finds the other instances through the registry, exchanges loads and observations of crashes with them, and answers their pulls
+ * of the store's feeds.
  *
  * @param caches cache of each feed, by the feed's name.
  */
@@ -30,6 +34,7 @@
     loads: UpstreamLoads,
     private val peerLoads: PeerLoads,
     private val caches: Map<String, FeedCache>,
+    private val crashGuard: CrashGuard,
 ) : AutoCloseable {
     private val registration = Executors.newSingleThreadScheduledExecutor { Thread(it, "registration").apply { isDaemon = true } }
     private val exchange = Executors.newSingleThreadScheduledExecutor { Thread(it, "load-exchange").apply { isDaemon = true } }
@@ -37,6 +42,8 @@
     @Volatile
     private var transport: PeerTransport? = null
     private val loadExchange = LoadExchange(self, loads, peerLoads) { to, message -> transport?.send(to, message) }
+    private val quarantineExchange =
+        QuarantineExchange(crashGuard::lastingRows, Random.Default) { to, message -> transport?.send(to, message) }
     private val isSendScheduled = AtomicBoolean()
 
     /** The registered instances, as known to this one. */
@@ -48,6 +55,12 @@
     fun start() {
         registration.schedule(::announceRegularly, FIRST_ANNOUNCE_DELAY_MS, TimeUnit.MILLISECONDS)
         exchange.scheduleAtFixedRate(::exchangeLoads, EXCHANGE_PERIOD_MS, EXCHANGE_PERIOD_MS, TimeUnit.MILLISECONDS)
+        exchange.scheduleAtFixedRate(
+            { guarded { quarantineExchange.round(fleet.others.keys) } },
+            QUARANTINE_PERIOD_MS,
+            QUARANTINE_PERIOD_MS,
+            TimeUnit.MILLISECONDS,
+        )
     }
 
     /** Sends [pull] to instance [to]; returns null if there is no answer within [timeoutMs]. */
@@ -77,6 +90,10 @@
             peerLoads.onReport(from, load, Clocks.steadyMs())
             null
         }
+        opened.handle(QuarantineRows::class.java) { from, message ->
+            crashGuard.onRows(from.value, message.rows)
+            null
+        }
         opened.handle(MembersPull::class.java) { _, pull -> fleet.answer(pull) }
         opened.handleLater(FeedPull::class.java) { _, pull ->
             caches[pull.feed]?.answer(pull)
@@ -93,16 +110,21 @@
     /** Schedules an immediate send of this instance's load, without waiting for the next round of the exchange. */
     fun sendLoadSoon() {
         if (!isSendScheduled.compareAndSet(false, true)) return
-        try {
-            exchange.execute {
-                isSendScheduled.set(false)
-                guarded { loadExchange.sendNow(Clocks.steadyMs(), System.currentTimeMillis()) }
-            }
-        } catch (_: RejectedExecutionException) {
-            log.debug("peer: load not sent because the executor of the load exchange was shut down")
+        executeSoon {
+            isSendScheduled.set(false)
+            loadExchange.sendNow(Clocks.steadyMs(), System.currentTimeMillis())
         }
     }
 
+    /** Sends [rows], which are new, to all other instances. Does not wait. */
+    fun sendQuarantine(rows: List<TraitRow>) = executeSoon { quarantineExchange.sendNow(rows, fleet.others.keys) }
+
+    private fun executeSoon(task: () -> Unit) = try {
+        exchange.execute { guarded(task) }
+    } catch (_: RejectedExecutionException) {
+        log.debug("peer: message not sent because the executor of the exchanges was shut down")
+    }
+
     // The executor does not run a periodic task again after it throws.
     private fun guarded(task: () -> Unit) = try {
         task()
@@ -125,6 +147,9 @@
 
         /** Less than the target latency of a short request. A shorter period would cost more processor time. */
         const val EXCHANGE_PERIOD_MS = 200L
+
+        /** An instance that missed an observation hears of it within a few rounds, well within the contact window of the platform. */
+        const val QUARANTINE_PERIOD_MS = 500L
         const val MEMBERS_TIMEOUT_MS = 300L
         val log = LoggerFactory.getLogger(ForwardPeers::class.java)
     }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -84,6 +84,7 @@
     // Returns null if the request is to be placed again.
     private fun nextAttempt(lastEventId: Long?): Outcome? {
         val admitted = admit().getOrElse { return Outcome.Failed(it) }
+        context.crashGuard.quarantinedTraitOf(request, body)?.let { return Outcome.Failed(RunFailures.quarantined(it)) }
         val serviceName = service ?: admitted.route.serviceFor(context.random.nextDouble()).also { onServiceChosen(it) }
         return attempt(admitted, serviceName, lastEventId)
     }
@@ -199,7 +200,7 @@
             Outcome.Single(open.head, bytes, null, upstream)
         }
     } catch (e: IOException) {
-        lastEnd = AttemptEnd.Broken(guard.causeOf(e))
+        lastEnd = brokenBy(e)
         open.abort()
         open.close()
         null
@@ -221,7 +222,10 @@
     ): Outcome? {
         counts += end
         lastEnd = end
-        upstream?.let { penaliseFault(it, end, faultyAddress) }
+        upstream?.let {
+            penaliseFault(it, end, faultyAddress)
+            observeCrash(it, end)
+        }
         val hasTimeLeft = remainingMs() > MIN_SEND_MS && guard.cancelReason.let { it == null || it == CancelReason.SILENCE }
         val step = nextStep(route, end, counts, hasTimeLeft, retries::take)
         if (end !is AttemptEnd.Answered || step != NextStep.Deliver) {
@@ -248,6 +252,21 @@
         }
     }
 
+    private fun brokenBy(cause: IOException) =
+        AttemptEnd.Broken(guard.causeOf(cause), guard.cancelReason == null && cause !is MalformedAnswerException)
+
+    // A stream that has gone on for several events was not what crashed its engine.
+    private fun observeCrash(upstream: UpstreamEntry, end: AttemptEnd) {
+        when (end) {
+            is AttemptEnd.Broken ->
+                if (end.isConnectionLost && eventsOfAttempt < SOUND_EVENTS) context.crashGuard.onLost(upstream, request, body)
+
+            is AttemptEnd.Answered -> context.crashGuard.onSound(request, body)
+
+            is AttemptEnd.Refused, is AttemptEnd.NotSent -> Unit
+        }
+    }
+
     private fun penaliseFault(upstream: UpstreamEntry, end: AttemptEnd, faultyAddress: String?) {
         if (end is AttemptEnd.Answered && end.status < SERVER_ERROR) return
         if (guard.cancelReason == CancelReason.CALLER_GONE) return
@@ -272,13 +291,13 @@
         val nowMs = elapsedMs()
         if (lastEventMs > 0) longestPauseMs = maxOf(longestPauseMs, nowMs - lastEventMs)
         lastEventMs = nowMs
-        eventsOfAttempt++
+        if (++eventsOfAttempt == SOUND_EVENTS) context.crashGuard.onSound(request, body)
         guard.restartSilenceTimer(eventGapTimeoutMs, Clocks.steadyMs())
     }
 
     private fun resume(broken: UpstreamStream, cause: IOException, lastEventId: Long?): UpstreamStream? {
         val route = admit().getOrElse { return null }.route
-        val step = decideNext(route, broken.upstream, AttemptEnd.Broken(guard.causeOf(cause)), null)
+        val step = decideNext(route, broken.upstream, brokenBy(cause), null)
         if (step != null) return null
         return when (val outcome = runAttempts(lastEventId)) {
             is Outcome.Stream -> outcome.stream
@@ -341,6 +360,9 @@
         /** With less time left a send would not be answered in time. */
         const val MIN_SEND_MS = 20L
 
+        /** Events after which an engine has survived the beginning of an answer. */
+        const val SOUND_EVENTS = 2
+
         /** Bounds the length of a log line. */
         const val MAX_LOGGED_PARTS = 8
         val log = LoggerFactory.getLogger(ForwardRun::class.java)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunFailures.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunFailures.kt
@@ -4,6 +4,8 @@
 import org.godwitwick.core.error.Executed
 import org.godwitwick.core.error.Failure
 import org.godwitwick.core.forward.SendCounts
+import org.godwitwick.core.health.RequestTrait
+import org.godwitwick.core.health.TraitQuarantine
 
 /** The failures of a request that was not sent, or whose time is over. */
 internal object RunFailures {
@@ -14,6 +16,13 @@
         retryAfterMs = maxOf(retryAfterMs, MIN_BACKLOG_RETRY_MS),
     )
 
+    /** Requests with [trait] are refused because upstreams crashed with them. */
+    fun quarantined(trait: RequestTrait) = Failure(
+        ErrorKind.REQUEST_QUARANTINED,
+        "upstreams crashed with ${if (trait.isWholeRequest) "this request" else "a part of this prompt"}; it is refused for now",
+        retryAfterMs = TraitQuarantine.QUARANTINE_MS,
+    )
+
     /** No upstream can take the request. */
     fun noPlacement(isServiceKnown: Boolean): Failure {
         if (isServiceKnown) {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ServerEvent.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ServerEvent.kt
@@ -8,6 +8,9 @@
 /** A complete server-sent event; [id] is null if it has none, and [bytes] include the blank line that ends it. */
 class ServerEvent(val id: Long?, val bytes: ByteString)
 
+/** Thrown for bytes that are not an answer; the connection itself is sound. */
+class MalformedAnswerException(message: String) : IOException(message)
+
 /** Reads whole server-sent events from [source]. */
 class EventReader(private val source: BufferedSource) {
     /**
@@ -27,7 +30,7 @@
             val end = source.buffer.indexOf(BLANK_LINE, searchedTo)
             if (end >= 0) return end
             val size = source.buffer.size
-            if (size > MAX_EVENT_BYTES) throw IOException("an event exceeds $MAX_EVENT_BYTES bytes")
+            if (size > MAX_EVENT_BYTES) throw MalformedAnswerException("an event exceeds $MAX_EVENT_BYTES bytes")
             searchedTo = (size - BLANK_LINE.size + 1).coerceAtLeast(0)
             if (source.request(size + 1)) continue
             if (size == 0L) return null
