Log and measure the limits that upstreams state

The logs could not show whether a limit was heard of. UpstreamStatements records what upstreams state in answers to requests of this instance and of the others, logs each change and serves godwitwick_forward_limited_upstreams. UpstreamLimits holds the rule by which all instances together keep to a limit; nothing asks it yet.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamEntry.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamEntry.kt
@@ -19,4 +19,7 @@
     val slots: Int,
     val isLeaving: Boolean,
     val startedAtMs: Long?,
-)
+) {
+    /** Identifies the process of the upstream: one that starts again under the same [id] has another key. */
+    val processKey: String get() = "${id.value}/${startedAtMs ?: 0}"
+}
--- a/node/src/main/kotlin/org/godwitwick/node/forward/CrashGuard.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/CrashGuard.kt
@@ -31,9 +31,8 @@
 
     /** Records that [upstream] was lost while it had [request] and had not answered it yet. */
     fun onLost(upstream: UpstreamEntry, request: CallerRequest, body: ByteArray) {
-        val process = "${upstream.id.value}/${upstream.startedAtMs ?: 0}"
         val rows = synchronized(quarantine) {
-            quarantine.onCrash(process, traitsOf(request, body), nowMs()).also { publish("$process was lost") }
+            quarantine.onCrash(upstream.processKey, traitsOf(request, body), nowMs()).also { publish("${upstream.id} was lost") }
         }
         send(rows)
     }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/FleetView.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FleetView.kt
@@ -14,7 +14,12 @@
  * Routing configuration and upstreams as last read from the store. Written by the control thread; other threads read the
  * published snapshots.
  */
-class FleetView(private val control: ControlThread, private val loads: UpstreamLoads, private val nowMs: () -> Long) {
+class FleetView(
+    private val control: ControlThread,
+    private val loads: UpstreamLoads,
+    private val statements: UpstreamStatements,
+    private val nowMs: () -> Long,
+) {
     private val gate = ConfigGate()
     private val directory = UpstreamDirectory()
 
@@ -85,6 +90,7 @@
         (known.keys - present.keys).forEach { log.info("upstream: {} gets no new work", it) }
         upstreams = usable.groupBy { it.service }
         loads.retain(present.keys)
+        statements.retain(usable)
     }
 
     private companion object {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -8,6 +8,7 @@
 import okhttp3.Request
 import okhttp3.Response
 import org.godwitwick.core.forward.AttemptEnd
+import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.node.upstream.OneShotBody
 import org.godwitwick.node.upstream.WriteGate
 import org.godwitwick.node.upstream.WriteGateInterceptor
@@ -35,8 +36,13 @@
  * Sends requests to upstreams over HTTP/1.1. It never retries a send.
  *
  * @param connectTimeoutMs time within which a connection must be established.
+ * @param onStatement called with what an upstream states about itself in an answer.
  */
-class ForwardClient(private val dialect: ForwardDialect, connectTimeoutMs: Long) {
+class ForwardClient(
+    private val dialect: ForwardDialect,
+    connectTimeoutMs: Long,
+    private val onStatement: (UpstreamEntry, UpstreamStatement) -> Unit,
+) {
     private val pooled = noRetryClientBuilder().plainHttp()
         .connectTimeout(connectTimeoutMs, TimeUnit.MILLISECONDS)
         // RunGuard cancels calls that are silent or take too long.
@@ -101,6 +107,8 @@
     private fun headOf(call: UpstreamCall, sent: Call, response: Response): SendResult {
         val head = dialect.decodeHead(response.code, response.headers)
         val open = SendResult.Open(head, response, sent)
+        // An answer that may belong to another request, of this upstream or of an earlier one at its address, states nothing.
+        if (head.requestId == call.request.id) onStatement(call.upstream, head.statement)
         val fault = answerFaultOf(call, head)
         if (fault != null) {
             open.abort()
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMessages.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMessages.kt
@@ -49,6 +49,13 @@
     val lastEventId: Long?,
 )
 
+/**
+ * What an upstream states about itself in an answer.
+ *
+ * @property limitPerS requests a second that it takes from all instances together, or null if it states no limit.
+ */
+data class UpstreamStatement(val limitPerS: Double? = null)
+
 /**
  * The decoded head of an upstream's answer.
  *
@@ -58,6 +65,7 @@
  * @property isEncoded whether the body has a content encoding.
  * @property faultyAddress address of another upstream that caused a refusal, or null.
  * @property headers headers that are forwarded to the caller.
+ * @property statement what the upstream states about itself; it holds only if the answer is for the request that was sent.
  */
 data class AnswerHead(
     val status: Int,
@@ -68,4 +76,5 @@
     val retryAfterMs: Long?,
     val faultyAddress: String?,
     val headers: List<Pair<String, String>>,
+    val statement: UpstreamStatement = UpstreamStatement(),
 )
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
@@ -5,8 +5,13 @@
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 
-/** Metrics of forwarded requests; [quarantinedCount] returns the number of traits for which requests are refused. */
-class ForwardMetrics(registry: PrometheusRegistry, quarantinedCount: () -> Int) {
+/**
+ * Metrics of forwarded requests.
+ *
+ * @param quarantinedCount returns the number of traits for which requests are refused.
+ * @param limitedCount returns the number of upstreams that state a limit.
+ */
+class ForwardMetrics(registry: PrometheusRegistry, quarantinedCount: () -> Int, limitedCount: () -> Int) {
     private val requests = Counter.builder()
         .name("godwitwick_forwarded_requests_total")
         .help("Ended requests by service and outcome.")
@@ -30,13 +35,18 @@
     )
 
     init {
-        GaugeWithCallback.builder()
-            .name("godwitwick_forward_quarantined_traits")
-            .help("Parts of prompts, or whole requests, that are refused because upstreams crashed with them.")
-            .callback { it.call(quarantinedCount().toDouble()) }
-            .register(registry)
+        gauge(
+            registry,
+            "godwitwick_forward_quarantined_traits",
+            "Parts of prompts, or whole requests, that are refused because upstreams crashed with them.",
+            quarantinedCount,
+        )
+        gauge(registry, "godwitwick_forward_limited_upstreams", "Upstreams that state a limit.", limitedCount)
     }
 
+    private fun gauge(registry: PrometheusRegistry, name: String, help: String, value: () -> Int) =
+        GaugeWithCallback.builder().name(name).help(help).callback { it.call(value().toDouble()) }.register(registry)
+
     /** Records that a request to [service] waited for [waitedMs] before it was sent or failed. */
     fun recordWait(service: String, waitedMs: Long) = waiting.labelValues(service).observe(waitedMs / MS_PER_SECOND)
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -39,10 +39,12 @@
     private val self = RegisteredInstance(InstanceId(settings.instanceName), settings.dataCentre, settings.peerAddress)
     private val caches = listOf(CONFIG_FEED, UPSTREAM_FEED).associateWith { FeedCache(Clocks::read) }
     private val crashGuard = CrashGuard(Clocks::steadyMs) { rows -> peers.sendQuarantine(rows) }
-    private val peers: ForwardPeers = ForwardPeers(self, registry, loads, peerLoads, caches, crashGuard)
+    private val peers: ForwardPeers = ForwardPeers(self, registry, loads, peerLoads, caches, crashGuard) { statements.onRow(it) }
+    private val statements =
+        UpstreamStatements(self.id, { peers.fleet.ids }, Clocks::steadyMs) { row -> peers.sendStatement(row) }
     private val freshness = KeyFreshness(settings.revocationMs)
-    private val fleetView = FleetView(control, loads, Clocks::steadyMs)
-    private val client = ForwardClient(dialect, CONNECT_TIMEOUT_MS)
+    private val fleetView = FleetView(control, loads, statements, Clocks::steadyMs)
+    private val client = ForwardClient(dialect, CONNECT_TIMEOUT_MS, statements::onAnswer)
     private val reservations = Reservations(client, dialect, holdMsOf(settings))
     private val runs = RunWatch(Clocks::steadyMs)
     private val inFlight = InFlightExchanges()
@@ -62,7 +64,7 @@
         ),
         prefillQueue = PrefillQueue(MAX_WAITING),
         crashGuard = crashGuard,
-        metrics = ForwardMetrics(metrics.registry, crashGuard::quarantinedCount),
+        metrics = ForwardMetrics(metrics.registry, crashGuard::quarantinedCount, statements::limitedCount),
         random = Random.Default,
         onLongPromptPlaced = peers::sendLoadSoon,
     )
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
@@ -14,6 +14,7 @@
 import org.godwitwick.node.peer.PeerIdentity
 import org.godwitwick.node.peer.PeerTransport
 import org.godwitwick.node.peer.QuarantineRows
+import org.godwitwick.node.peer.StatementRow
 import org.slf4j.LoggerFactory
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.Executors
@@ -27,6 +28,7 @@
  * of the store's feeds.
  *
  * @param caches cache of each feed, by the feed's name.
+ * @param onStatement called with what an upstream stated about itself to another instance.
  */
 class ForwardPeers(
     private val self: RegisteredInstance,
@@ -35,6 +37,7 @@
     private val peerLoads: PeerLoads,
     private val caches: Map<String, FeedCache>,
     private val crashGuard: CrashGuard,
+    private val onStatement: (StatementRow) -> Unit,
 ) : AutoCloseable {
     private val registration = Executors.newSingleThreadScheduledExecutor { Thread(it, "registration").apply { isDaemon = true } }
     private val exchange = Executors.newSingleThreadScheduledExecutor { Thread(it, "load-exchange").apply { isDaemon = true } }
@@ -94,6 +97,10 @@
             crashGuard.onRows(from.value, message.rows)
             null
         }
+        opened.handle(StatementRow::class.java) { _, row ->
+            onStatement(row)
+            null
+        }
         opened.handle(MembersPull::class.java) { _, pull -> fleet.answer(pull) }
         opened.handleLater(FeedPull::class.java) { _, pull ->
             caches[pull.feed]?.answer(pull)
@@ -119,6 +126,9 @@
     /** Sends [rows], which are new, to all other instances. Does not wait. */
     fun sendQuarantine(rows: List<TraitRow>) = executeSoon { quarantineExchange.sendNow(rows, fleet.others.keys) }
 
+    /** Sends what an upstream stated to all other instances. Does not wait. */
+    fun sendStatement(row: StatementRow) = executeSoon { fleet.others.keys.forEach { transport?.send(it, row) } }
+
     private fun executeSoon(task: () -> Unit) = try {
         exchange.execute { guarded(task) }
     } catch (_: RejectedExecutionException) {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RegisteredFleet.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RegisteredFleet.kt
@@ -24,6 +24,7 @@
 
     private val size = FleetSize()
     private var missedRounds = 0
+    private var knownFor: List<RegisteredInstance>? = null
 
     @Volatile
     private var latestList: InstanceList? = null
@@ -33,6 +34,11 @@
     var others: Map<InstanceId, RegisteredInstance> = emptyMap()
         private set
 
+    /** All instances including this one; empty until the fleet is known. */
+    @Volatile
+    var ids: List<InstanceId> = emptyList()
+        private set
+
     /** Plan of which instances read the store. */
     @Volatile
     var plan: ReaderPlan = ReaderPlan(emptyMap())
@@ -78,6 +84,10 @@
         if (current !== known) adopt(current)
         size.onRegistered(current.instances.size)
         instanceCount = size.settled
+        if (size.settled != null && current.instances !== knownFor) {
+            knownFor = current.instances
+            ids = (others.keys + self.id).toList()
+        }
         largestCount = size.largest
     }
 
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamStatements.kt
@@ -0,0 +1,87 @@
+package org.godwitwick.node.forward
+
+import org.godwitwick.core.forward.LimitNews
+import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.core.forward.UpstreamLimits
+import org.godwitwick.core.model.InstanceId
+import org.godwitwick.node.peer.StatementRow
+import org.slf4j.LoggerFactory
+
+/**
+ * What upstreams have stated about themselves, in answers to this instance and to others.
+ *
+ * @param fleet returns all instances including this one; empty if they are not known.
+ * @param send sends a statement to the other instances.
+ */
+class UpstreamStatements(
+    self: InstanceId,
+    private val fleet: () -> Collection<InstanceId>,
+    private val nowMs: () -> Long,
+    private val send: (StatementRow) -> Unit,
+) {
+    private val limits = UpstreamLimits(self)
+
+    /** Number of upstreams that state a limit. */
+    val limitedCount: Int @Synchronized get() = limits.limitedCount
+
+    /** Records what [upstream] stated in an answer to this instance. */
+    fun onAnswer(upstream: UpstreamEntry, statement: UpstreamStatement) {
+        val news =
+            record(upstream.processKey) { limits.onAnswer(upstream.processKey, statement.limitPerS, fleet(), nowMs()) } ?: return
+        send(StatementRow(news.upstream, news.perSecond, news.ageMs))
+    }
+
+    /** Records what another instance was told. */
+    fun onRow(row: StatementRow) = record(row.upstream) {
+        limits.onNews(LimitNews(row.upstream, row.limitPerS, row.ageMs), fleet(), nowMs())
+    }
+
+    @Synchronized
+    private fun <T> record(upstream: String, change: () -> T): T {
+        val before = limits.limitOf(upstream)
+        val result = change()
+        val after = limits.limitOf(upstream)
+        if (before != after) log.info("upstream: {} states a limit of {} requests a second; before: {}", upstream, after, before)
+        return result
+    }
+
+    /** Takes the right to send one request to [upstream] now; returns false if its limit does not allow that. */
+    @Synchronized
+    fun tryTake(upstream: UpstreamEntry): Boolean {
+        val now = nowMs()
+        val isAllowed = limits.maySend(upstream.processKey, fleet(), now)
+        if (isAllowed) limits.onSend(upstream.processKey, fleet(), now)
+        return isAllowed
+    }
+
+    /** Those of [candidates] that take a request now, by what they have stated. */
+    @Synchronized
+    fun open(candidates: List<UpstreamEntry>): List<UpstreamEntry> {
+        if (limits.limitedCount == 0) return candidates
+        val now = nowMs()
+        return candidates.filter { limits.maySend(it.processKey, fleet(), now) }
+    }
+
+    /** Those of [candidates] that state no limit. */
+    @Synchronized
+    fun unlimited(candidates: List<UpstreamEntry>): List<UpstreamEntry> {
+        if (limits.limitedCount == 0) return candidates
+        val now = nowMs()
+        return candidates.filterNot { limits.isLimited(it.processKey, now) }
+    }
+
+    /** Time until one of [upstreams] takes a request of this instance, in milliseconds, or null if that is not known. */
+    @Synchronized
+    fun earliestMs(upstreams: List<UpstreamEntry>): Long? {
+        val now = nowMs()
+        return upstreams.mapNotNull { limits.waitMs(it.processKey, fleet(), now) }.minOrNull()
+    }
+
+    /** Forgets the upstreams that are not in [registered]. */
+    @Synchronized
+    fun retain(registered: Collection<UpstreamEntry>) = limits.retain(registered.mapTo(HashSet()) { it.processKey })
+
+    private companion object {
+        val log = LoggerFactory.getLogger(UpstreamStatements::class.java)
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/StatementRow.kt
@@ -0,0 +1,19 @@
+package org.godwitwick.node.peer
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborLabel
+
+/**
+ * What an upstream stated about itself, passed on by the instance that received it.
+ *
+ * @property upstream the upstream's process.
+ * @property limitPerS requests a second that it takes from all instances together, or null if it states no limit any more.
+ * @property ageMs time since the statement.
+ */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+@SerialName("us")
+class StatementRow(@CborLabel(1) val upstream: String, @CborLabel(2) val limitPerS: Double?, @CborLabel(3) val ageMs: Long) :
+    PeerMessage
