Keep what all instances send to an upstream within the limit that it states

Callers beside it were served late by an engine that had asked for relief.

An equal share for each instance would not do: with one request each in reserve nine instances exceed a small limit, and 520 any limit.

If all upstreams of a service are limited and used up, the request is refused at once as not run, with the time until one takes it.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
@@ -22,6 +22,7 @@
     val budgets: RetryBudgets,
     val prefillQueue: PrefillQueue,
     val crashGuard: CrashGuard,
+    val statements: UpstreamStatements,
     val metrics: ForwardMetrics,
     val random: Random,
     val onLongPromptPlaced: () -> Unit,
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -64,6 +64,7 @@
         ),
         prefillQueue = PrefillQueue(MAX_WAITING),
         crashGuard = crashGuard,
+        statements = statements,
         metrics = ForwardMetrics(metrics.registry, crashGuard::quarantinedCount, statements::limitedCount),
         random = Random.Default,
         onLongPromptPlaced = peers::sendLoadSoon,
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -105,8 +105,14 @@
         val spec = context.fleetView.routing.table?.serviceOf(serviceName)
         val work = when (val decision = placer.place(spec, serviceName, admitted.route, callerWait(admitted.route))) {
             is PlacementDecision.Send -> decision.work.also { turn.end(elapsedMs()) }
+
             is PlacementDecision.Wait -> return awaitTurn(decision.forecast)
+
             is PlacementDecision.Reject -> return Outcome.Failed(RunFailures.backlog(decision.retryAfterMs))
+
+            is PlacementDecision.Limited ->
+                return Outcome.Failed(RunFailures.limited(decision.retryAfterMs, context.random.nextDouble()))
+
             is PlacementDecision.NoUpstream -> return Outcome.Failed(placementFailure(serviceName))
         }
         val placement = work.placement
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
@@ -24,9 +24,31 @@
     /** Places the request at the service called [serviceName], for a caller that has waited as [wait] says. */
     fun place(service: ForwardService?, serviceName: String, route: ForwardRoute, wait: CallerWait): PlacementDecision {
         val known = context.fleetView.upstreams[serviceName].orEmpty().filter { it.address !in avoided }
-        val untried = known.filter { it !in tried }.ifEmpty { known }
+        val open = openOf(known)
+        if (open.isEmpty() && known.isNotEmpty()) return PlacementDecision.Limited(context.statements.earliestMs(known))
         val pauses = context.fleetView.routing.table?.pauseTargetsOf(serviceName)
         val demand = ForwardDemand(request.size, wait, route.kind is RouteKind.Streaming, pauses)
-        return context.placer.place(demand, service?.engine, untried, Clocks.steadyMs())
+        return placeOn(open.filter { it !in tried }.ifEmpty { open }, demand, service)
+    }
+
+    // The helpers of a long prompt take load as well, so it is placed on upstreams without a limit where there are some.
+    private fun openOf(known: List<UpstreamEntry>): List<UpstreamEntry> {
+        val open = context.statements.open(known)
+        return if (request.size?.isShort == false) context.statements.unlimited(open).ifEmpty { open } else open
+    }
+
+    // Another request of this instance may have taken what an upstream still allows.
+    private tailrec fun placeOn(
+        candidates: List<UpstreamEntry>,
+        demand: ForwardDemand,
+        service: ForwardService?,
+    ): PlacementDecision {
+        val decision = context.placer.place(demand, service?.engine, candidates, Clocks.steadyMs())
+        if (decision !is PlacementDecision.Send) return decision
+        val upstream = decision.work.placement.upstream
+        if (context.statements.tryTake(upstream)) return decision
+        val others = candidates - upstream
+        if (others.isEmpty()) return PlacementDecision.Limited(context.statements.earliestMs(candidates))
+        return placeOn(others, demand, service)
     }
 }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunFailures.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunFailures.kt
@@ -23,6 +23,16 @@
         retryAfterMs = TraitQuarantine.QUARANTINE_MS,
     )
 
+    /**
+     * All upstreams state limits that are used up; this instance may send again after [retryAfterMs] if that is known. [draw] is a
+     * random number in [0, 1) by which the returns of the callers are spread.
+     */
+    fun limited(retryAfterMs: Long?, draw: Double) = Failure(
+        ErrorKind.OVERLOADED,
+        "the upstreams take no more requests at present",
+        retryAfterMs = (maxOf(retryAfterMs ?: 0, MIN_BACKLOG_RETRY_MS) * (1 + draw)).toLong(),
+    )
+
     /** No upstream can take the request. */
     fun noPlacement(isServiceKnown: Boolean): Failure {
         if (isServiceKnown) {
@@ -43,7 +53,7 @@
     /** The caller disconnected while the request waited. */
     fun callerGone() = Failure(ErrorKind.CANCELLED, "the caller disconnected", Executed.NO)
 
-    /** Lower bound of the retry delay that callers are advised while engines have prefill pending. */
+    /** Lower bound of the retry delay that callers are advised while upstreams have too much to do. */
     private const val MIN_BACKLOG_RETRY_MS = 300L
 
     /** Retry delay that callers are advised; upstreams renew their registration about once a second. */
