Do not take an earlier refusal for the answer to a request that runs

Further report of the operators: a faulty upstream writes an earlier refusal once more on a kept connection. Callers were told "not run" for requests that run. It can happen here, for requests that may be repeated: these use kept connections.

Two ways, each with a test that failed before: the same request is sent again to the same upstream and reads its own earlier refusal (503 instead of the answer), and a refusal that names no request is taken for one of the request just sent (503 although it runs).

A request that was sent to an upstream before goes there on a new connection, and a refusal counts only if it names the request. Requests that may run once always had new connections.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -71,14 +71,22 @@
     }
 
     /**
-     * Sends [call] with [body]. A call that is not [isIdempotent] gets a new connection.
+     * Sends [call] with [body].
      *
+     * @param needsNewConnection whether the call must not be sent on a kept connection: it may run once only, or was sent to this
+     *   upstream before, whose earlier answer could be read once more.
      * @param guard may cancel the call; it states the cause of a cancellation.
      * @param onStart called with the OkHttp call before it is executed.
      */
-    fun send(call: UpstreamCall, body: ByteArray, isIdempotent: Boolean, guard: RunGuard, onStart: (Call) -> Unit): SendResult {
+    fun send(
+        call: UpstreamCall,
+        body: ByteArray,
+        needsNewConnection: Boolean,
+        guard: RunGuard,
+        onStart: (Call) -> Unit,
+    ): SendResult {
         val gate = WriteGate()
-        val sent = (if (isIdempotent) pooled else unpooled).newCall(requestOf(call, body, gate))
+        val sent = (if (needsNewConnection) unpooled else pooled).newCall(requestOf(call, body, gate))
         onStart(sent)
         return try {
             headOf(call, sent, sent.execute())
@@ -123,7 +131,8 @@
     private fun answerFaultOf(call: UpstreamCall, head: AnswerHead): String? = when {
         head.requestId != null && head.requestId != call.request.id -> "the upstream answered another request"
 
-        head.isNotExecuted -> null
+        // A refusal that does not say which request it is for may be an earlier one that is read once more.
+        head.isNotExecuted -> if (head.requestId == null) "the upstream refused without naming the request" else null
 
         head.isEncoded -> "the answer has an encoding that was not asked for"
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -128,6 +128,7 @@
             progress.end()
             reservedHelpers.release()
         }
+        val needsNewConnection = !admitted.route.kind.isIdempotent || placer.wasTried(placement.upstream)
         placer.markTried(placement.upstream)
         eventsOfAttempt = 0
         val call = UpstreamCall(
@@ -139,7 +140,7 @@
             reservedHelpers.helpers,
             lastEventId,
         )
-        val result = send(call, admitted.route, placement)
+        val result = send(call, admitted.route, placement, needsNewConnection)
         val outcome = when (result) {
             is SendResult.Ended -> null
             is SendResult.Open -> readAnswer(result, admitted.route, placement.upstream, progress, endAttempt)
@@ -167,10 +168,10 @@
         return Outcome.Failed(deadlineFailure() ?: RunFailures.callerGone())
     }
 
-    private fun send(call: UpstreamCall, route: ForwardRoute, placement: Placement): SendResult {
+    private fun send(call: UpstreamCall, route: ForwardRoute, placement: Placement, needsNewConnection: Boolean): SendResult {
         val limitMs = context.streamTimeouts.firstEventTimeoutMs(route, counts.mayHaveRun)
         val engines = placement.helpers.map { it.upstream } + placement.upstream
-        return context.client.send(call, body, route.kind.isIdempotent, guard) { sent ->
+        return context.client.send(call, body, needsNewConnection, guard) { sent ->
             guard.attach(sent, limitMs, retries.silencePolicyOf(engines), Clocks.steadyMs())
         }
     }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
@@ -16,6 +16,9 @@
         tried += upstream
     }
 
+    /** Whether the request was sent to [upstream] before. */
+    fun wasTried(upstream: UpstreamEntry): Boolean = upstream in tried
+
     /** Excludes the upstream at [address] from this request. */
     fun avoid(address: String) {
         avoided += address
