Do not take an empty answer for the end of a resumed stream

The error's text can't reach the stream here, as only whole events with the next id are passed on; but an answer of status 200 with an empty body, with a length of zero or ended by its connection, was taken for a stream with no more events, so that a caller took a broken stream for a whole one.

A stream without an event is complete only if it states its own end.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -21,6 +21,9 @@
 sealed interface SendResult {
     /** The head of an answer has arrived; [close] ends the call. */
     class Open(val head: AnswerHead, val response: Response, private val call: Call) : SendResult {
+        /** Whether the answer states its own end, as opposed to ending with its connection or after a given length. */
+        val isChunked: Boolean get() = response.header("Transfer-Encoding").equals("chunked", ignoreCase = true)
+
         /** Ends the call; its connection is reused only if the whole body was read. */
         fun close() = response.close()
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -187,6 +187,8 @@
         if (route.kind is RouteKind.Streaming && open.head.status == OK) {
             val reader = EventReader(source)
             val first = reader.next()
+            // Without an event and without the end of its chunks, the answer is no stream, or was cut off before its first event.
+            if (first == null && !open.isChunked) throw MalformedAnswerException("the stream has no event and no end")
             progress.onPrefillDone()
             eventGapTimeoutMs = context.streamTimeouts.eventGapTimeoutMs(route, counts.mayHaveRun)
             guard.restartSilenceTimer(eventGapTimeoutMs, Clocks.steadyMs())
