Send nothing to an upstream that states in its answers that it is leaving

An upstream that never registers as leaving, or whose registration the store tells late, went on getting requests although each of its answers said so. Same class of fault as with limits: a statement of an upstream about itself that no decision used.

Another process under the same id begins without it, and an answer that belongs to another request states nothing. If all upstreams leave, a request is refused at once as not run.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMessages.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMessages.kt
@@ -53,8 +53,9 @@
  * What an upstream states about itself in an answer.
  *
  * @property limitPerS requests a second that it takes from all instances together, or null if it states no limit.
+ * @property isLeaving whether it is shutting down and must not receive new requests.
  */
-data class UpstreamStatement(val limitPerS: Double? = null)
+data class UpstreamStatement(val limitPerS: Double? = null, val isLeaving: Boolean = false)
 
 /**
  * The decoded head of an upstream's answer.
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
@@ -10,8 +10,14 @@
  *
  * @param quarantinedCount returns the number of traits for which requests are refused.
  * @param limitedCount returns the number of upstreams that state a limit.
+ * @param leavingCount returns the number of registered upstreams that have stated that they are leaving.
  */
-class ForwardMetrics(registry: PrometheusRegistry, quarantinedCount: () -> Int, limitedCount: () -> Int) {
+class ForwardMetrics(
+    registry: PrometheusRegistry,
+    quarantinedCount: () -> Int,
+    limitedCount: () -> Int,
+    leavingCount: () -> Int,
+) {
     private val requests = Counter.builder()
         .name("godwitwick_forwarded_requests_total")
         .help("Ended requests by service and outcome.")
@@ -42,6 +48,7 @@
             quarantinedCount,
         )
         gauge(registry, "godwitwick_forward_limited_upstreams", "Upstreams that state a limit.", limitedCount)
+        gauge(registry, "godwitwick_forward_leaving_upstreams", "Registered upstreams that have stated they leave.", leavingCount)
     }
 
     private fun gauge(registry: PrometheusRegistry, name: String, help: String, value: () -> Int) =
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -65,7 +65,12 @@
         prefillQueue = PrefillQueue(MAX_WAITING),
         crashGuard = crashGuard,
         statements = statements,
-        metrics = ForwardMetrics(metrics.registry, crashGuard::quarantinedCount, statements::limitedCount),
+        metrics = ForwardMetrics(
+            metrics.registry,
+            crashGuard::quarantinedCount,
+            statements::limitedCount,
+            statements::leavingCount,
+        ),
         random = Random.Default,
         onLongPromptPlaced = peers::sendLoadSoon,
     )
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
@@ -26,7 +26,11 @@
 
     /** Places the request at the service called [serviceName], for a caller that has waited as [wait] says. */
     fun place(service: ForwardService?, serviceName: String, route: ForwardRoute, wait: CallerWait): PlacementDecision {
-        val known = context.fleetView.upstreams[serviceName].orEmpty().filter { it.address !in avoided }
+        val known = context.statements.present(
+            context.fleetView.upstreams[serviceName].orEmpty().filter {
+                it.address !in avoided
+            },
+        )
         val open = openOf(known)
         if (open.isEmpty() && known.isNotEmpty()) return PlacementDecision.Limited(context.statements.earliestMs(known))
         val pauses = context.fleetView.routing.table?.pauseTargetsOf(serviceName)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamStatements.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamStatements.kt
@@ -1,6 +1,7 @@
 package org.godwitwick.node.forward
 
 import org.godwitwick.core.forward.LimitNews
+import org.godwitwick.core.forward.UpstreamAbsences
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.forward.UpstreamLimits
 import org.godwitwick.core.model.InstanceId
@@ -20,20 +21,36 @@
     private val send: (StatementRow) -> Unit,
 ) {
     private val limits = UpstreamLimits(self)
+    private val absences = UpstreamAbsences()
 
     /** Number of upstreams that state a limit. */
     val limitedCount: Int @Synchronized get() = limits.limitedCount
 
+    /** Number of upstreams that have stated that they are leaving. */
+    val leavingCount: Int @Synchronized get() = absences.leavingCount
+
     /** Records what [upstream] stated in an answer to this instance. */
     fun onAnswer(upstream: UpstreamEntry, statement: UpstreamStatement) {
+        if (statement.isLeaving && recordLeaving(upstream.processKey, "an answer to this instance")) {
+            send(StatementRow(upstream.processKey, limitPerS = null, ageMs = 0, isLeaving = true))
+        }
         val news =
             record(upstream.processKey) { limits.onAnswer(upstream.processKey, statement.limitPerS, fleet(), nowMs()) } ?: return
         send(StatementRow(news.upstream, news.perSecond, news.ageMs))
     }
 
     /** Records what another instance was told. */
-    fun onRow(row: StatementRow) = record(row.upstream) {
-        limits.onNews(LimitNews(row.upstream, row.limitPerS, row.ageMs), fleet(), nowMs())
+    fun onRow(row: StatementRow) {
+        if (row.isLeaving) {
+            recordLeaving(row.upstream, "another instance")
+        } else {
+            record(row.upstream) { limits.onNews(LimitNews(row.upstream, row.limitPerS, row.ageMs), fleet(), nowMs()) }
+        }
+    }
+
+    @Synchronized
+    private fun recordLeaving(upstream: String, source: String): Boolean = absences.onLeaving(upstream).also { isNew ->
+        if (isNew) log.info("upstream: {} states that it is leaving and gets no new work; known from {}", upstream, source)
     }
 
     @Synchronized
@@ -62,6 +79,13 @@
         return candidates.filter { limits.maySend(it.processKey, fleet(), now) }
     }
 
+    /** Those of [candidates] that have not stated that they are leaving. */
+    @Synchronized
+    fun present(candidates: List<UpstreamEntry>): List<UpstreamEntry> {
+        if (absences.leavingCount == 0) return candidates
+        return candidates.filter { absences.mayReceive(it.processKey) }
+    }
+
     /** Those of [candidates] that state no limit. */
     @Synchronized
     fun unlimited(candidates: List<UpstreamEntry>): List<UpstreamEntry> {
@@ -79,7 +103,11 @@
 
     /** Forgets the upstreams that are not in [registered]. */
     @Synchronized
-    fun retain(registered: Collection<UpstreamEntry>) = limits.retain(registered.mapTo(HashSet()) { it.processKey })
+    fun retain(registered: Collection<UpstreamEntry>) {
+        val processes = registered.mapTo(HashSet()) { it.processKey }
+        limits.retain(processes)
+        absences.retain(processes)
+    }
 
     private companion object {
         val log = LoggerFactory.getLogger(UpstreamStatements::class.java)
--- a/node/src/main/kotlin/org/godwitwick/node/peer/StatementRow.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/StatementRow.kt
@@ -11,9 +11,14 @@
  * @property upstream the upstream's process.
  * @property limitPerS requests a second that it takes from all instances together, or null if it states no limit any more.
  * @property ageMs time since the statement.
+ * @property isLeaving whether it stated that it is shutting down; if set, the row says nothing of a limit.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 @SerialName("us")
-class StatementRow(@CborLabel(1) val upstream: String, @CborLabel(2) val limitPerS: Double?, @CborLabel(3) val ageMs: Long) :
-    PeerMessage
+class StatementRow(
+    @CborLabel(1) val upstream: String,
+    @CborLabel(2) val limitPerS: Double?,
+    @CborLabel(3) val ageMs: Long,
+    @CborLabel(4) val isLeaving: Boolean = false,
+) : PeerMessage
