Do not take an error for the proof that a request is sound

Engines that fail requests with 500 before they run them would end a quarantine, or keep it from beginning, while such requests go on crashing the others. Only a success, a second event or the end of a stream counts now; the last also for answers of one event.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -270,7 +270,8 @@
             is AttemptEnd.Broken ->
                 if (end.isConnectionLost && eventsOfAttempt < SOUND_EVENTS) context.crashGuard.onLost(upstream, request, body)
 
-            is AttemptEnd.Answered -> context.crashGuard.onSound(request, body)
+            // An upstream may answer with an error without having begun to run the request.
+            is AttemptEnd.Answered -> if (end.status in SUCCESS) context.crashGuard.onSound(request, body)
 
             is AttemptEnd.Refused, is AttemptEnd.NotSent -> Unit
         }
@@ -291,6 +292,7 @@
     private fun streamResponse(stream: UpstreamStream): Response {
         firstByteMs = elapsedMs()
         val relay = EventRelay(stream, request.lastEventId, ::resume, ::onEventPassed) { cause ->
+            if (cause == null) context.crashGuard.onSound(request, body)
             recordEnd(stream.upstream, "stream ${cause?.let { "broken: $it" } ?: "complete"}")
         }
         return Response(Status(stream.head.status, "")).headers(stream.head.headers).body(Body(relay))
@@ -364,6 +366,7 @@
     private companion object {
         const val OK = 200
         const val SERVER_ERROR = 500
+        val SUCCESS = 200..299
         const val MAX_BUFFERED_BYTES = 1L shl 20
 
         /** With less time left a send would not be answered in time. */
