--- a/core/src/main/kotlin/org/godwitwick/core/health/TraitQuarantine.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/health/TraitQuarantine.kt
@@ -116,12 +116,8 @@
         }
         val surplus = evidence.size - MAX_TRAITS
         if (surplus <= 0) return
-        val leastTelling = evidence.entries.sortedWith(
-            compareBy({
-                it.value.counted().size
-            }, { it.value.lastAtMs }),
-        ).take(surplus)
-        leastTelling.forEach { evidence.remove(it.key) }
+        val byImportance = compareBy<Map.Entry<RequestTrait, Evidence>>({ it.value.counted().size }, { it.value.lastAtMs })
+        evidence.entries.sortedWith(byImportance).take(surplus).forEach { evidence.remove(it.key) }
     }
 
     // Number of crashes that are at least SAME_LOSS_MS apart.
