--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
@@ -186,7 +186,7 @@
             is PlacementDecision.Wait ->
                 schedule(nowMs + random.nextDouble(MIN_TURN_MS, MAX_TURN_MS)) { if (!request.isEnded) send(request, instance) }
 
-            is PlacementDecision.Reject, is PlacementDecision.NoUpstream -> request.isEnded = true
+            is PlacementDecision.Reject, is PlacementDecision.Limited, is PlacementDecision.NoUpstream -> request.isEnded = true
         }
     }
 
