Give the test of dead engines the deadline that its comment states

Traced: the random pauses between the attempts add up to 1.3 s at most, as found; it added the parameter for a deadline of 5 s and its reason but never passed it, so the default of 1 s stayed. The draw of the pauses decides, not the load. With 5 s the check is as strict: DEADLINE_EXCEEDED fails the test in any case, and the request must end well before.

--- a/lab/src/test/kotlin/org/godwitwick/lab/upstream/DeadlineTest.kt
+++ b/lab/src/test/kotlin/org/godwitwick/lab/upstream/DeadlineTest.kt
@@ -32,7 +32,13 @@
     fun `a request on dead engines fails before its deadline`() =
         // The pauses between its attempts add up to 1.3 s at most, so it ends well before a deadline of 5 s.
         // A request may be written to a pooled connection that is being closed; it then counts as possibly executed.
-        endsInTime(ErrorKind.NO_UPSTREAM, ErrorKind.OVERLOADED, ErrorKind.UPSTREAM_FAILED, stallMs = 500) { fleet ->
+        endsInTime(
+            ErrorKind.NO_UPSTREAM,
+            ErrorKind.OVERLOADED,
+            ErrorKind.UPSTREAM_FAILED,
+            stallMs = 500,
+            timeoutMs = 5_000,
+        ) { fleet ->
             fleet.engines.forEach { it.die() }
         }
 
