Tell a limit about once a second for the fleet, and not after it has ended

Found when reading the change again. Each sender of a limited upstream told all others once a second, and an upstream that had ever stated a limit was told of as unlimited with answers forever: in a large fleet the messages grew with senders times instances.

News of another instance now counts as told, the senders renew in turn, and the end of a limit is told once.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamLimits.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamLimits.kt
@@ -26,7 +26,9 @@
 class UpstreamLimits(private val self: InstanceId) {
     private class Limit(var perSecond: Double?, var statedAtMs: Long) {
         var nextSendMs = Long.MIN_VALUE
-        var toldAtMs: Long? = null
+
+        /** Time at which this or another instance last told the others. */
+        var toldAtMs = statedAtMs
         private var senders: Senders? = null
 
         fun senders(upstream: String, perSecond: Double, fleet: Collection<InstanceId>): Collection<InstanceId> {
@@ -60,7 +62,9 @@
         val limit = limits.getOrPut(upstream) { Limit(null, nowMs) }
         val isChange = limit.perSecond != perSecond
         set(limit, perSecond, fleet, nowMs)
-        if (!isChange && limit.toldAtMs.let { it != null && nowMs - it < RENEWAL_MS }) return null
+        if (!isChange && (perSecond == null || nowMs - limit.toldAtMs < renewalMs(limit.senders(upstream, perSecond, fleet)))) {
+            return null
+        }
         limit.toldAtMs = nowMs
         return LimitNews(upstream, perSecond, ageMs = 0)
     }
@@ -70,8 +74,16 @@
         val known = limits[news.upstream]
         val statedAtMs = nowMs - news.ageMs
         if (known != null && known.statedAtMs >= statedAtMs) return
-        set(known ?: Limit(null, statedAtMs).also { limits[news.upstream] = it }, news.perSecond, fleet, nowMs)
-        limits.getValue(news.upstream).statedAtMs = statedAtMs
+        val limit = known ?: Limit(null, statedAtMs).also { limits[news.upstream] = it }
+        set(limit, news.perSecond, fleet, nowMs)
+        limit.statedAtMs = statedAtMs
+        limit.toldAtMs = nowMs
+    }
+
+    // The senders renew in turn, so that one message tells all of them.
+    private fun renewalMs(senders: Collection<InstanceId>): Long {
+        val rank = senders.indexOf(self).takeIf { it >= 0 } ?: MAX_TURNS
+        return RENEWAL_MS + TURN_MS * minOf(rank, MAX_TURNS)
     }
 
     // What was sent before the upstream stated its limit counts against it, so the first send waits like any other.
@@ -138,6 +150,12 @@
         /** Period in which a limit that goes on is told to the other instances again. */
         const val RENEWAL_MS = 1_000L
 
+        /** Longer than a message between instances takes. */
+        const val TURN_MS = 100L
+
+        /** Bounds the time without a renewal when only the last senders have requests. */
+        const val MAX_TURNS = 10
+
         /** A limit that is not stated any more lapses; several times the renewal, so that a lost message does not end it. */
         const val LAPSE_MS = 5_000L
         const val LAPSE_REQUESTS = 5
--- a/core/src/test/kotlin/org/godwitwick/core/forward/UpstreamLimitsTest.kt
+++ b/core/src/test/kotlin/org/godwitwick/core/forward/UpstreamLimitsTest.kt
@@ -3,6 +3,7 @@
 import org.godwitwick.core.model.InstanceId
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
@@ -12,7 +13,7 @@
 /** The sum of what a fleet sends to one upstream that states a limit, in model time. */
 class UpstreamLimitsTest {
     /** All instances want to send at each step of 10 ms; news arrives after [delayMs] at most. */
-    private class Fleet(size: Int, private val perSecond: Double, seed: Int) {
+    private class Fleet(size: Int, private val perSecond: Double, seed: Int, private val limitEndsMs: Long = Long.MAX_VALUE) {
         private val random = Random(seed)
         private val ids = (1..size).map { InstanceId("entry-$it") }
         private val limits = ids.associateWith { UpstreamLimits(it) }
@@ -20,6 +21,9 @@
         private val inTransit = ArrayList<Triple<Long, InstanceId, LimitNews>>()
         val arrivalsMs = ArrayList<Long>()
 
+        /** Times at which an instance told all others what it knows. */
+        val toldMs = ArrayList<Long>()
+
         /** What each instance takes for the fleet. */
         var view: (InstanceId) -> Collection<InstanceId> = { ids }
 
@@ -41,7 +45,8 @@
             own.onSend(UPSTREAM, view(id), nowMs)
             if (id in informed) arrivalsMs += nowMs
             informed += id
-            val news = own.onAnswer(UPSTREAM, perSecond, view(id), nowMs + 1) ?: return
+            val news = own.onAnswer(UPSTREAM, perSecond.takeIf { nowMs < limitEndsMs }, view(id), nowMs + 1) ?: return
+            toldMs += nowMs
             ids.filter { it != id }.forEach { inTransit += Triple(nowMs + random.nextLong(MAX_DELAY_MS), it, news) }
         }
 
@@ -71,6 +76,15 @@
         expectThat(fleet.arrivalsMs.count { it >= 5_000 }).isGreaterThan(20)
     }
 
+    // Guards against messages that grow with the number of senders, or that go on after a limit has ended.
+    @Test
+    fun `a limit that goes on is told about once a second by one instance, and one that has ended is not told again`() {
+        val fleet = Fleet(95, 40.0, seed = 2, limitEndsMs = 10_000)
+        fleet.run(20_000)
+        expectThat(fleet.toldMs.count { it in 1_000 until 10_000 }).isLessThanOrEqualTo(2 * 9)
+        expectThat(fleet.toldMs.count { it >= 11_000 }).isEqualTo(0)
+    }
+
     // Guards against two sets of senders while instances disagree on who belongs to the fleet.
     @Test
     fun `the sum stays within the limit while instances disagree on the fleet`() {
