Remember what an upstream has stated while its registration lapses

When a registration expired with the store and came back, what its process had stated was forgotten: a leaving upstream got requests again, and a limited one from the whole fleet. Entries of upstreams that only other instances had heard of were never dropped either, as long as the registrations did not change.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamAbsences.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamAbsences.kt
@@ -11,6 +11,9 @@
     private val leaving = HashSet<String>()
     private val waitsUntilMs = HashMap<String, Long>()
 
+    /** The processes of which something is known. */
+    val known: Set<String> get() = leaving + waitsUntilMs.keys
+
     /** Number of upstreams that have stated that they are leaving. */
     val leavingCount: Int get() = leaving.size
 
@@ -28,10 +31,10 @@
     /** Time until the process [upstream] takes a request of this instance again, in milliseconds; zero if it does now. */
     fun waitMs(upstream: String, nowMs: Long): Long = ((waitsUntilMs[upstream] ?: nowMs) - nowMs).coerceAtLeast(0)
 
-    /** Forgets the processes that are not in [registered]. */
-    fun retain(registered: Set<String>) {
-        leaving.retainAll(registered)
-        waitsUntilMs.keys.retainAll(registered)
+    /** Forgets the processes that are not in [remembered]. */
+    fun retain(remembered: Set<String>) {
+        leaving.retainAll(remembered)
+        waitsUntilMs.keys.retainAll(remembered)
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamLimits.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamLimits.kt
@@ -49,6 +49,9 @@
     /** The limit that [upstream] last stated, in requests a second, or null if it stated none. */
     fun limitOf(upstream: String): Double? = limits[upstream]?.perSecond
 
+    /** The processes of which something is known. */
+    val known: Set<String> get() = limits.keys.toSet()
+
     /** Number of upstreams that state a limit. */
     val limitedCount: Int get() = limits.values.count { it.perSecond != null }
 
@@ -120,9 +123,9 @@
         return if (isSender) limit.nextSendMs - nowMs else null
     }
 
-    /** Forgets the upstreams that are not in [registered]. */
-    fun retain(registered: Set<String>) {
-        limits.keys.retainAll(registered)
+    /** Forgets the upstreams that are not in [remembered]. */
+    fun retain(remembered: Set<String>) {
+        limits.keys.retainAll(remembered)
     }
 
     private companion object {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/FleetView.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FleetView.kt
@@ -83,6 +83,7 @@
     private fun publish() {
         directory.expire(nowMs())
         val usable = directory.usable
+        statements.retain(usable)
         val known = upstreams.values.flatten().associateBy { it.id }
         val present = usable.associateBy { it.id }
         if (known == present) return
@@ -90,7 +91,6 @@
         (known.keys - present.keys).forEach { log.info("upstream: {} gets no new work", it) }
         upstreams = usable.groupBy { it.service }
         loads.retain(present.keys)
-        statements.retain(usable)
     }
 
     private companion object {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamStatements.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamStatements.kt
@@ -4,6 +4,7 @@
 import org.godwitwick.core.forward.UpstreamAbsences
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.forward.UpstreamLimits
+import org.godwitwick.core.forward.UpstreamMemory
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.peer.StatementRow
 import org.slf4j.LoggerFactory
@@ -22,6 +23,7 @@
 ) {
     private val limits = UpstreamLimits(self)
     private val absences = UpstreamAbsences()
+    private val memory = UpstreamMemory()
 
     /** Number of upstreams that state a limit. */
     val limitedCount: Int @Synchronized get() = limits.limitedCount
@@ -112,12 +114,14 @@
         }.minOrNull()
     }
 
-    /** Forgets the upstreams that are not in [registered]. */
+    /** Forgets the upstreams that have not been among [registered] for some time. Call it regularly. */
     @Synchronized
     fun retain(registered: Collection<UpstreamEntry>) {
-        val processes = registered.mapTo(HashSet()) { it.processKey }
-        limits.retain(processes)
-        absences.retain(processes)
+        val known = limits.known + absences.known
+        if (known.isEmpty()) return
+        val remembered = memory.remembered(known, registered.mapTo(HashSet()) { it.processKey }, nowMs())
+        limits.retain(remembered)
+        absences.retain(remembered)
     }
 
     private companion object {
