Say that no upstream is left when all of them are leaving

On-call engineers read "too little free KV cache" for requests to a service whose upstreams had all stated that they leave, and callers the kind overloaded. UpstreamStatementTest asks for no_upstream now; it found overloaded before.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -287,7 +287,7 @@
     }
 
     private fun placementFailure(serviceName: String): Failure = lastEnd?.let { failureOf(it, counts) }
-        ?: RunFailures.noPlacement(isServiceKnown = context.fleetView.upstreams[serviceName].orEmpty().isNotEmpty())
+        ?: RunFailures.noPlacement(hasUpstream = placer.presentAt(serviceName).isNotEmpty())
 
     private fun streamResponse(stream: UpstreamStream): Response {
         firstByteMs = elapsedMs()
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
@@ -24,13 +24,13 @@
         avoided += address
     }
 
+    /** The upstreams of the service called [serviceName] that are not leaving. */
+    fun presentAt(serviceName: String): List<UpstreamEntry> =
+        context.statements.present(context.fleetView.upstreams[serviceName].orEmpty())
+
     /** Places the request at the service called [serviceName], for a caller that has waited as [wait] says. */
     fun place(service: ForwardService?, serviceName: String, route: ForwardRoute, wait: CallerWait): PlacementDecision {
-        val known = context.statements.present(
-            context.fleetView.upstreams[serviceName].orEmpty().filter {
-                it.address !in avoided
-            },
-        )
+        val known = presentAt(serviceName).filter { it.address !in avoided }
         val open = openOf(known)
         if (open.isEmpty() && known.isNotEmpty()) return PlacementDecision.Limited(context.statements.earliestMs(known))
         val pauses = context.fleetView.routing.table?.pauseTargetsOf(serviceName)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunFailures.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunFailures.kt
@@ -33,15 +33,19 @@
         retryAfterMs = (maxOf(retryAfterMs ?: 0, MIN_BACKLOG_RETRY_MS) * (1 + draw)).toLong(),
     )
 
-    /** No upstream can take the request. */
-    fun noPlacement(isServiceKnown: Boolean): Failure {
-        if (isServiceKnown) {
+    /** No upstream can take the request; [hasUpstream] tells whether its service has any that is not leaving. */
+    fun noPlacement(hasUpstream: Boolean): Failure {
+        if (hasUpstream) {
             return Failure(
                 ErrorKind.OVERLOADED,
                 "the engines together have too little free KV cache for the prompt",
             )
         }
-        return Failure(ErrorKind.NO_UPSTREAM, "no upstream of the service is registered", retryAfterMs = NO_UPSTREAM_RETRY_MS)
+        return Failure(
+            ErrorKind.NO_UPSTREAM,
+            "no upstream of the service is registered, or all are leaving",
+            retryAfterMs = NO_UPSTREAM_RETRY_MS,
+        )
     }
 
     /** The deadline has passed after the sends in [counts]. */
