Recognise a tried upstream by its process

A request that was sent to an upstream takes a new connection when it is sent there again. Upstreams were compared by their whole registration, so one whose registration had changed meanwhile counted as new and could be reached on a kept connection. Found by reading; it has no test of its own.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
@@ -8,16 +8,16 @@
 
 /** Chooses the upstream for each send of one request, preferring those not tried before. Used by one thread. */
 class RequestPlacer(private val context: ForwardContext, private val request: CallerRequest) {
-    private val tried = HashSet<UpstreamEntry>()
+    private val triedProcesses = HashSet<String>()
     private val avoided = HashSet<String>()
 
     /** Records that the request was sent to [upstream]; it is tried again only after all others were tried. */
     fun markTried(upstream: UpstreamEntry) {
-        tried += upstream
+        triedProcesses += upstream.processKey
     }
 
     /** Whether the request was sent to [upstream] before. */
-    fun wasTried(upstream: UpstreamEntry): Boolean = upstream in tried
+    fun wasTried(upstream: UpstreamEntry): Boolean = upstream.processKey in triedProcesses
 
     /** Excludes the upstream at [address] from this request. */
     fun avoid(address: String) {
@@ -35,7 +35,7 @@
         if (open.isEmpty() && known.isNotEmpty()) return PlacementDecision.Limited(context.statements.earliestMs(known))
         val pauses = context.fleetView.routing.table?.pauseTargetsOf(serviceName)
         val demand = ForwardDemand(request.size, wait, route.kind is RouteKind.Streaming, pauses)
-        return placeOn(open.filter { it !in tried }.ifEmpty { open }, demand, service)
+        return placeOn(open.filterNot(::wasTried).ifEmpty { open }, demand, service)
     }
 
     // The helpers of a long prompt take load as well, so it is placed on upstreams without a limit where there are some.
