Send the observations of crashes of one moment together

Each request that was lost with an upstream sent its rows to every other instance at once: a rack with 200 requests of one instance made 200 x 94 messages in a fleet of 95. They are collected for 20 ms and sent in one message to each. QuarantineExchangeTest covers that case; the others of its checks are unchanged, but send what was offered explicitly.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
@@ -123,14 +123,16 @@
         }
     }
 
-    /** Sends [rows], which are new, to all other instances. Does not wait. */
-    fun sendQuarantine(rows: List<TraitRow>) = executeSoon { quarantineExchange.sendNow(rows, fleet.others.keys) }
+    /** Sends [rows], which are new, to all other instances, together with others of the same moment. Does not wait. */
+    fun sendQuarantine(rows: List<TraitRow>) {
+        if (quarantineExchange.offer(rows)) executeSoon(QUARANTINE_DELAY_MS) { quarantineExchange.flush(fleet.others.keys) }
+    }
 
     /** Sends what an upstream stated to all other instances. Does not wait. */
     fun sendStatement(row: StatementRow) = executeSoon { fleet.others.keys.forEach { transport?.send(it, row) } }
 
-    private fun executeSoon(task: () -> Unit) = try {
-        exchange.execute { guarded(task) }
+    private fun executeSoon(delayMs: Long = 0, task: () -> Unit) = try {
+        exchange.schedule({ guarded(task) }, delayMs, TimeUnit.MILLISECONDS)
     } catch (_: RejectedExecutionException) {
         log.debug("peer: message not sent because the executor of the exchanges was shut down")
     }
@@ -160,6 +162,9 @@
 
         /** An instance that missed an observation hears of it within a few rounds, well within the contact window of the platform. */
         const val QUARANTINE_PERIOD_MS = 500L
+
+        /** The requests on a crashed upstream break within some ten milliseconds. */
+        const val QUARANTINE_DELAY_MS = 20L
         const val MEMBERS_TIMEOUT_MS = 300L
         val log = LoggerFactory.getLogger(ForwardPeers::class.java)
     }
--- a/node/src/test/kotlin/org/godwitwick/node/forward/QuarantineExchangeTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/QuarantineExchangeTest.kt
@@ -18,6 +18,7 @@
         var messages = 0
         val unreachable = HashSet<InstanceId>()
         val guards = LinkedHashMap<InstanceId, CrashGuard>()
+        private val due = ArrayList<InstanceId>()
         private val exchanges = HashMap<InstanceId, QuarantineExchange>()
 
         init {
@@ -26,7 +27,7 @@
 
         fun join(name: String): CrashGuard {
             val self = InstanceId(name)
-            val guard = CrashGuard({ nowMs }) { rows -> exchanges.getValue(self).sendNow(rows, guards.keys - self) }
+            val guard = CrashGuard({ nowMs }) { rows -> if (exchanges.getValue(self).offer(rows)) due += self }
             exchanges[self] = QuarantineExchange(guard::lastingRows, Random(count())) { to, message ->
                 messages++
                 if (self !in unreachable && to !in unreachable) guards.getValue(to).onRows(name, message.rows)
@@ -37,6 +38,13 @@
 
         private fun count() = guards.size
 
+        /** Sends what was offered since the last call. */
+        fun flush() {
+            val senders = due.toList()
+            due.clear()
+            senders.forEach { self -> exchanges.getValue(self).flush(guards.keys - self) }
+        }
+
         fun rounds(count: Int) = repeat(count) {
             nowMs += 500
             exchanges.forEach { (self, exchange) -> exchange.round(guards.keys - self) }
@@ -45,6 +53,7 @@
         fun crash(number: Int, reporter: CrashGuard) {
             nowMs += 300
             reporter.onLost(engine(number), request("dead", number), byteArrayOf(1))
+            flush()
         }
     }
 
@@ -81,6 +90,7 @@
         repeat(3) { fleet.crash(it, fleet.guards.values.first()) }
         fleet.nowMs += 300
         fleet.guards.values.last().onSound(request("dead", 7), body)
+        fleet.flush()
         expectThat(fleet.guards.values.mapNotNull { it.quarantinedTraitOf(request("dead", 99), body) }).isEmpty()
     }
 
@@ -96,6 +106,16 @@
         expectThat(fleet.messages).isEqualTo(95 * 3 * 10)
     }
 
+    // Guards against a storm of messages when a rack is lost with all requests on it.
+    @Test
+    fun `the rows of many requests that are lost at the same moment are sent together`() {
+        val fleet = Fleet(95)
+        val reporter = fleet.guards.values.first()
+        (1..200).forEach { number -> reporter.onLost(engine(number % 20), request("part-$number", number), body) }
+        fleet.flush()
+        expectThat(fleet.messages).isEqualTo(94)
+    }
+
     private companion object {
         fun engine(number: Int) = UpstreamEntry(InstanceId("engine-$number"), "llm", "10.0.0.$number:1", "dc", 8, false, 1)
 
