--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -42,6 +42,7 @@
 ) {
     private val placer = RequestPlacer(context, request)
     private val turn = PrefillTurn(context, request.id, guard)
+    private val crashes = CrashObserver(context.crashGuard, request, body)
     private var counts = SendCounts()
     private var lastEnd: AttemptEnd? = null
     private var firstByteMs: Long? = null
@@ -53,7 +54,6 @@
     private var eventGapTimeoutMs: Long? = null
     private var lastEventMs = 0L
     private var longestPauseMs = 0L
-    private var eventsOfAttempt = 0
 
     /** Outcome of a request: a stream or a single answer to forward, or the failure to report to the caller. */
     private sealed interface Outcome {
@@ -130,7 +130,7 @@
         }
         val needsNewConnection = !admitted.route.kind.isIdempotent || placer.wasTried(placement.upstream)
         placer.markTried(placement.upstream)
-        eventsOfAttempt = 0
+        crashes.onAttempt()
         val call = UpstreamCall(
             request,
             placement.upstream,
@@ -233,7 +233,7 @@
         lastEnd = end
         upstream?.let {
             penaliseFault(it, end, faultyAddress)
-            observeCrash(it, end)
+            crashes.onEnd(it, end)
         }
         val hasTimeLeft = remainingMs() > MIN_SEND_MS && guard.cancelReason.let { it == null || it == CancelReason.SILENCE }
         val step = nextStep(route, end, counts, hasTimeLeft, retries::take)
@@ -244,7 +244,7 @@
                 upstream?.id,
                 end,
                 elapsedMs(),
-                eventsOfAttempt,
+                crashes.events,
                 request.sharedParts.take(MAX_LOGGED_PARTS),
                 step,
             )
@@ -264,19 +264,6 @@
     private fun brokenBy(cause: IOException) =
         AttemptEnd.Broken(guard.causeOf(cause), guard.cancelReason == null && cause !is MalformedAnswerException)
 
-    // A stream that has gone on for several events was not what crashed its engine.
-    private fun observeCrash(upstream: UpstreamEntry, end: AttemptEnd) {
-        when (end) {
-            is AttemptEnd.Broken ->
-                if (end.isConnectionLost && eventsOfAttempt < SOUND_EVENTS) context.crashGuard.onLost(upstream, request, body)
-
-            // An upstream may answer with an error without having begun to run the request.
-            is AttemptEnd.Answered -> if (end.status in SUCCESS) context.crashGuard.onSound(request, body)
-
-            is AttemptEnd.Refused, is AttemptEnd.NotSent -> Unit
-        }
-    }
-
     private fun penaliseFault(upstream: UpstreamEntry, end: AttemptEnd, faultyAddress: String?) {
         if (end is AttemptEnd.Answered && end.status < SERVER_ERROR) return
         if (guard.cancelReason == CancelReason.CALLER_GONE) return
@@ -292,7 +279,7 @@
     private fun streamResponse(stream: UpstreamStream): Response {
         firstByteMs = elapsedMs()
         val relay = EventRelay(stream, request.lastEventId, ::resume, ::onEventPassed) { cause ->
-            if (cause == null) context.crashGuard.onSound(request, body)
+            if (cause == null) crashes.onStreamComplete()
             recordEnd(stream.upstream, "stream ${cause?.let { "broken: $it" } ?: "complete"}")
         }
         return Response(Status(stream.head.status, "")).headers(stream.head.headers).body(Body(relay))
@@ -302,7 +289,7 @@
         val nowMs = elapsedMs()
         if (lastEventMs > 0) longestPauseMs = maxOf(longestPauseMs, nowMs - lastEventMs)
         lastEventMs = nowMs
-        if (++eventsOfAttempt == SOUND_EVENTS) context.crashGuard.onSound(request, body)
+        crashes.onEvent()
         guard.restartSilenceTimer(eventGapTimeoutMs, Clocks.steadyMs())
     }
 
@@ -366,15 +353,11 @@
     private companion object {
         const val OK = 200
         const val SERVER_ERROR = 500
-        val SUCCESS = 200..299
         const val MAX_BUFFERED_BYTES = 1L shl 20
 
         /** With less time left a send would not be answered in time. */
         const val MIN_SEND_MS = 20L
 
-        /** Events after which an engine has survived the beginning of an answer. */
-        const val SOUND_EVENTS = 2
-
         /** Bounds the length of a log line. */
         const val MAX_LOGGED_PARTS = 8
         val log = LoggerFactory.getLogger(ForwardRun::class.java)
