Log the era of the store and the offset at which a feed goes on

The log lines of a feed didn't tell whether an instance went on at its old offset after the store had returned from an older copy, read the newest records and found an older version, or refused the newest one. They now name the store's era and the offset, and a change of the era has a line of its own.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/FeedReader.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FeedReader.kt
@@ -42,6 +42,7 @@
 ) {
     private var lastAnswerMs: Long? = null
     private var failures = 0
+    private var lastEra: Long? = null
 
     /** Reads like [FeedReader.read], and waits up to [waitMs] for a change. */
     fun read(fromOffset: Long?, waitMs: Long): Result<FeedRead, FeedFailure> {
@@ -50,15 +51,21 @@
     }
 
     private fun newest(sentAt: ClockReading) = feed.newest().map { page ->
-        log.info("feed: {} read {} newest records", name, page.records.size)
-        FeedRead(page.records, page.nextOffset, isSnapshot = true, sentAt, onAnswer())
+        log.info(
+            "feed: {} read {} newest records in era {}; changes follow from offset {}",
+            name,
+            page.records.size,
+            page.era,
+            page.nextOffset,
+        )
+        FeedRead(page.records, page.nextOffset, isSnapshot = true, sentAt, onAnswer(page.era, null))
     }
 
     private fun changes(fromOffset: Long, waitMs: Long, sentAt: ClockReading): Result<FeedRead, FeedFailure> {
         // After a failure any answer shows that the store is available again, so it must not be delayed by a wait for a record.
         val allowedMs = if (failures > 0) 0 else waitMs
         return feed.changes(fromOffset, allowedMs).map { page ->
-            FeedRead(page.records, page.nextOffset, isSnapshot = false, provenAt(sentAt, allowedMs, page), onAnswer())
+            FeedRead(page.records, page.nextOffset, isSnapshot = false, provenAt(sentAt, allowedMs, page), onAnswer(page.era, fromOffset))
         }
     }
 
@@ -69,10 +76,12 @@
         return ClockReading(sentAt.steadyMs + waitMs, sentAt.wallMs + waitMs)
     }
 
-    private fun onAnswer(): Long? {
+    private fun onAnswer(era: Long, fromOffset: Long?): Long? {
         val nowMs = clock().steadyMs
         val last = lastAnswerMs
-        if (failures > 0) log.info("feed: {} answers again after {} failures", name, failures)
+        if (failures > 0) log.info("feed: {} answers again after {} failures, in era {} at offset {}", name, failures, era, fromOffset)
+        if (lastEra.let { it != null && it != era }) log.info("feed: {}: the store went from era {} to {}", name, lastEra, era)
+        lastEra = era
         val isAfterOutage = failures > 0 && last != null && nowMs - last >= outageMs
         failures = 0
         lastAnswerMs = nowMs
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RecordFeed.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RecordFeed.kt
@@ -5,8 +5,13 @@
 /** A record of the store; a null [value] removes [key]. */
 class StoredRecord(val key: String, val value: ByteArray?)
 
-/** Records in order, and the offset after the last one. */
-class StoredPage(val records: List<StoredRecord>, val nextOffset: Long)
+/**
+ * Records in order.
+ *
+ * @property nextOffset offset after the last record.
+ * @property era number of times that the store has returned from an older copy. Offsets of different eras are unrelated.
+ */
+class StoredPage(val records: List<StoredRecord>, val nextOffset: Long, val era: Long = 0)
 
 /** Why a feed could not be read. */
 sealed interface FeedFailure {
