Do not go on at an old offset after the store has returned from an older copy

Cause: an offset was kept as if it named one record for ever. After the return the numbering begins anew. As soon as the store's end had reached the kept offset, the read succeeded, and records below it were never read. The logs showed it: the instances with the fault 'answer again in era 2 at offset 3'; the others had got 410 and read the newest records.

Change: a position in a feed is an era and an offset. An answer of another era is not used; the newest records are read instead, and the registrations that are missing there keep the time to come back that they have after an outage. Instances that read through another one send their era; one that has read a later era goes back to no earlier one.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/FeedCache.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FeedCache.kt
@@ -20,14 +20,14 @@
     private val delayedExecutor: (delayMs: Long) -> Executor = { CompletableFuture.delayedExecutor(it, TimeUnit.MILLISECONDS) },
 ) {
     /** The records from one offset on, encoded for sending. */
-    private class EncodedPage(val records: ByteArray, val isSnapshot: Boolean, val nextOffset: Long, val provenAt: ClockReading)
+    private class EncodedPage(val records: ByteArray, val isSnapshot: Boolean, val next: FeedPosition, val provenAt: ClockReading)
 
     private class WaitingPull(val pull: FeedPull, val receivedAt: ClockReading, val answer: CompletableFuture<FeedAnswer>)
 
     // In the order of their last change. A removed key is found in the recent records only.
     private val latestByKey = LinkedHashMap<String, StoredRecord>()
     private val recentRecords = ArrayDeque<StoredRecord>()
-    private var nextOffset: Long? = null
+    private var next: FeedPosition? = null
     private var provenAt: ClockReading? = null
     private var isFirstHand = false
     private var storeRecoveredAtMs: Long? = null
@@ -37,13 +37,13 @@
     fun onRead(read: FeedRead, isFirstHand: Boolean) {
         val answers = synchronized(this) {
             if (read.isSnapshot) replace(read.records) else read.records.forEach(::append)
-            nextOffset = read.nextOffset
+            next = read.next
             provenAt = read.provenAt
             this.isFirstHand = isFirstHand
             read.storeRecoveredAtMs?.let { storeRecoveredAtMs = it }
             if (read.records.isEmpty() && read.storeRecoveredAtMs == null && !read.isSnapshot) return
             // All waiting followers are at the same offset, so the records are encoded once.
-            val encoded = waitingPulls.firstOrNull()?.let { encodeFrom(it.pull.fromOffset) }
+            val encoded = waitingPulls.firstOrNull()?.let { encodeFor(it.pull) }
             waitingPulls.map { it.answer to answerTo(it, encoded) }.also { waitingPulls.clear() }
         }
         answers.forEach { (future, answer) -> future.complete(answer) }
@@ -69,9 +69,9 @@
     /** Answers [pull]: at once if there are newer records, otherwise with the next change or after the requested wait. */
     fun answer(pull: FeedPull): CompletableFuture<FeedAnswer> = synchronized(this) {
         val receivedAt = clock()
-        val mayWait = pull.holdMs > 0 && nextOffset == pull.fromOffset
+        val mayWait = pull.holdMs > 0 && next == FeedPosition(pull.era, pull.fromOffset)
         val waiting = WaitingPull(pull, receivedAt, CompletableFuture())
-        if (!mayWait) return CompletableFuture.completedFuture(answerTo(waiting, encodeFrom(pull.fromOffset)))
+        if (!mayWait) return CompletableFuture.completedFuture(answerTo(waiting, encodeFor(pull)))
         waitingPulls += waiting
         delayedExecutor(pull.holdMs.coerceAtMost(MAX_WAIT_MS)).execute { answerAfterWait(waiting) }
         waiting.answer
@@ -79,16 +79,17 @@
 
     private fun answerAfterWait(waiting: WaitingPull) {
         val answer = synchronized(this) {
-            if (waitingPulls.remove(waiting)) answerTo(waiting, encodeFrom(waiting.pull.fromOffset)) else null
+            if (waitingPulls.remove(waiting)) answerTo(waiting, encodeFor(waiting.pull)) else null
         }
         answer?.let(waiting.answer::complete)
     }
 
-    // Returns null if this instance has not read the feed up to that offset.
-    private fun encodeFrom(fromOffset: Long): EncodedPage? {
-        val next = nextOffset?.takeIf { fromOffset <= it } ?: return null
+    // Returns null if this instance has not read the feed up to that position.
+    private fun encodeFor(pull: FeedPull): EncodedPage? {
+        val next = next?.takeIf { pull.era < it.era || (pull.era == it.era && pull.fromOffset <= it.offset) } ?: return null
         val proven = provenAt ?: return null
-        val missing = next - fromOffset
+        val fromOffset = if (pull.era == next.era) pull.fromOffset else UNKNOWN_OFFSET
+        val missing = next.offset - fromOffset
         // Offsets have no gaps, but the records that led to a snapshot are not among the recent ones.
         val isSnapshot = fromOffset < 0 || missing > recentRecords.size
         val records = if (isSnapshot) latestByKey.values.toList() else recentRecords.takeLast(missing.toInt())
@@ -101,10 +102,11 @@
         return FeedAnswer(
             encoded.records,
             encoded.isSnapshot,
-            encoded.nextOffset,
+            encoded.next.offset,
             FeedFreshness.leadMs(encoded.provenAt, waiting.receivedAt),
             isFirstHand,
             regainedLeadMs?.takeIf { it > -UpstreamDirectory.REMOVAL_GRACE_MS },
+            encoded.next.era,
         )
     }
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/FeedFollower.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FeedFollower.kt
@@ -27,7 +27,7 @@
     private val decode: (List<StoredRecord>) -> List<Pair<String, T?>>,
     private val listener: FeedListener<T>,
 ) : AutoCloseable {
-    private var nextOffset: Long? = null
+    private var next: FeedPosition? = null
 
     @Volatile
     private var isClosed = false
@@ -51,16 +51,16 @@
     }
 
     /** Reads once. */
-    internal fun step() = reader.read(nextOffset).fold(::notifyListener) { failure ->
+    internal fun step() = reader.read(next).fold(::notifyListener) { failure ->
         if (failure is FeedFailure.HistoryDropped) {
             log.info("feed: {}: {}", name, failure.message)
-            nextOffset = null
+            next = null
         }
     }
 
     private fun notifyListener(read: FeedRead) {
         read.storeRecoveredAtMs?.let(listener::onStoreRecovered)
-        nextOffset = read.nextOffset
+        next = read.next
         val items = decode(read.records)
         if (read.isSnapshot) listener.onSnapshot(items.toMap(), read.provenAt) else listener.onChanges(items, read.provenAt)
     }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/FeedReader.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FeedReader.kt
@@ -1,6 +1,9 @@
 package org.godwitwick.node.forward
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.map
 import com.github.michaelbull.result.onErr
 import org.godwitwick.core.forward.ClockReading
@@ -10,14 +13,14 @@
  * Result of one read of a feed.
  *
  * @property records records in order, or the newest record of each key if [isSnapshot] is set.
- * @property nextOffset offset from which later changes are read.
+ * @property next position from which later changes are read.
  * @property provenAt time at which the records are proven to have been complete.
  * @property storeRecoveredAtMs monotonic time at which the store answered again after an outage in which registrations may have
  *   expired; null if no such recovery is new.
  */
 class FeedRead(
     val records: List<StoredRecord>,
-    val nextOffset: Long,
+    val next: FeedPosition,
     val isSnapshot: Boolean,
     val provenAt: ClockReading,
     val storeRecoveredAtMs: Long? = null,
@@ -25,8 +28,8 @@
 
 /** Reads a feed from any source. Used by one thread. */
 interface FeedReader {
-    /** Reads the changes from [fromOffset] on, or the newest record of each key if it is null; may wait for a change. */
-    fun read(fromOffset: Long?): Result<FeedRead, FeedFailure>
+    /** Reads the changes from [from] on, or the newest record of each key if it is null; may wait for a change. */
+    fun read(from: FeedPosition?): Result<FeedRead, FeedFailure>
 }
 
 /**
@@ -45,9 +48,9 @@
     private var lastEra: Long? = null
 
     /** Reads like [FeedReader.read], and waits up to [waitMs] for a change. */
-    fun read(fromOffset: Long?, waitMs: Long): Result<FeedRead, FeedFailure> {
+    fun read(from: FeedPosition?, waitMs: Long): Result<FeedRead, FeedFailure> {
         val sentAt = clock()
-        return (if (fromOffset == null) newest(sentAt) else changes(fromOffset, waitMs, sentAt)).onErr(::onFailure)
+        return (if (from == null) newest(sentAt) else changes(from, waitMs, sentAt)).onErr(::onFailure)
     }
 
     private fun newest(sentAt: ClockReading) = feed.newest().map { page ->
@@ -58,15 +61,16 @@
             page.era,
             page.nextOffset,
         )
-        FeedRead(page.records, page.nextOffset, isSnapshot = true, sentAt, onAnswer(page.era, null))
+        FeedRead(page.records, page.next, isSnapshot = true, sentAt, onAnswer(page.era))
     }
 
-    private fun changes(fromOffset: Long, waitMs: Long, sentAt: ClockReading): Result<FeedRead, FeedFailure> {
+    private fun changes(from: FeedPosition, waitMs: Long, sentAt: ClockReading): Result<FeedRead, FeedFailure> {
         // After a failure any answer shows that the store is available again, so it must not be delayed by a wait for a record.
         val allowedMs = if (failures > 0) 0 else waitMs
-        return feed.changes(fromOffset, allowedMs).map { page ->
-            FeedRead(page.records, page.nextOffset, isSnapshot = false, provenAt(sentAt, allowedMs, page), onAnswer(page.era, fromOffset))
-        }
+        val page = feed.changes(from.offset, allowedMs).getOrElse { return Err(it) }
+        // The offset is from another numbering, so records before it may be new.
+        if (page.era != from.era) return Err(FeedFailure.HistoryDropped("the store went from era ${from.era} to ${page.era}"))
+        return Ok(FeedRead(page.records, page.next, isSnapshot = false, provenAt(sentAt, allowedMs, page), onAnswer(page.era)))
     }
 
     // A read that waited for the whole time and found nothing proves that there was nothing at the end of the wait.
@@ -76,16 +80,19 @@
         return ClockReading(sentAt.steadyMs + waitMs, sentAt.wallMs + waitMs)
     }
 
-    private fun onAnswer(era: Long, fromOffset: Long?): Long? {
+    private val StoredPage.next get() = FeedPosition(era, nextOffset)
+
+    private fun onAnswer(era: Long): Long? {
         val nowMs = clock().steadyMs
         val last = lastAnswerMs
-        if (failures > 0) log.info("feed: {} answers again after {} failures, in era {} at offset {}", name, failures, era, fromOffset)
-        if (lastEra.let { it != null && it != era }) log.info("feed: {}: the store went from era {} to {}", name, lastEra, era)
-        lastEra = era
+        if (failures > 0) log.info("feed: {} answers again after {} failures, in era {}", name, failures, era)
+        // Registrations that are younger than the store's copy are missing until their upstreams write them again.
+        val isRestored = lastEra.let { it != null && it != era }
         val isAfterOutage = failures > 0 && last != null && nowMs - last >= outageMs
+        lastEra = era
         failures = 0
         lastAnswerMs = nowMs
-        return if (isAfterOutage) nowMs else null
+        return if (isRestored || isAfterOutage) nowMs else null
     }
 
     private fun onFailure(failure: FeedFailure) {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RecordFeed.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RecordFeed.kt
@@ -13,6 +13,9 @@
  */
 class StoredPage(val records: List<StoredRecord>, val nextOffset: Long, val era: Long = 0)
 
+/** Place in a feed of the store: offsets count anew in each [era]. */
+data class FeedPosition(val era: Long, val offset: Long)
+
 /** Why a feed could not be read. */
 sealed interface FeedFailure {
     /** The cause in one sentence. */
--- a/node/src/main/kotlin/org/godwitwick/node/forward/SharedReader.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/SharedReader.kt
@@ -49,18 +49,19 @@
     private var nextReadMs = Long.MIN_VALUE
     private var lastRecoveryMs: Long? = null
     private var lastSource: InstanceId? = null
+    private var latestEra = 0L
 
-    override fun read(fromOffset: Long?): Result<FeedRead, FeedFailure> {
+    override fun read(from: FeedPosition?): Result<FeedRead, FeedFailure> {
         pauseUntil(nextReadMs)
         while (true) {
             val nowMs = clock().steadyMs
             val plan = plan()
             when (val source = sourceSelector.next(plan, nowMs)) {
-                is FeedSource.Store -> return readStore(plan, fromOffset, nowMs)
+                is FeedSource.Store -> return readStore(plan, from, nowMs)
 
                 is FeedSource.Reader -> {
                     nextReadMs = nowMs + pacing.sharedPeriodMs
-                    askReader(source, fromOffset, plan.isReader(self))?.let { return Ok(it) }
+                    askReader(source, from, plan.isReader(self))?.let { return Ok(it) }
                 }
 
                 is FeedSource.None -> pauseUntil(source.untilMs)
@@ -68,14 +69,14 @@
         }
     }
 
-    private fun readStore(plan: ReaderPlan, fromOffset: Long?, nowMs: Long): Result<FeedRead, FeedFailure> {
+    private fun readStore(plan: ReaderPlan, from: FeedPosition?, nowMs: Long): Result<FeedRead, FeedFailure> {
         val isShared = plan.readers.isNotEmpty()
         nextReadMs = nowMs + if (isShared) pacing.sharedPeriodMs else pacing.periodMs
         // A follower that exceptionally reads the store itself must soon be able to ask a reader again.
         val waitMs = if (!isShared) pacing.waitMs else pacing.sharedWaitMs
-        return store.read(fromOffset, waitMs).onOk { read ->
+        return store.read(from, waitMs).onOk { read ->
             sourceSelector.onStoreAnswered()
-            onSourceUsed(null)
+            onSourceUsed(null, read)
             read.storeRecoveredAtMs?.let { lastRecoveryMs = it }
             cache.onRead(read, isFirstHand = true)
         }.onErr { failure ->
@@ -87,17 +88,18 @@
         }
     }
 
-    private fun askReader(source: FeedSource.Reader, fromOffset: Long?, isReader: Boolean): FeedRead? {
+    private fun askReader(source: FeedSource.Reader, from: FeedPosition?, isReader: Boolean): FeedRead? {
         val askedAt = clock()
         val holdMs = if (source.mayLongPoll) pacing.sharedWaitMs else 0
-        val answer = ask(source.id, FeedPull(name, fromOffset ?: FeedCache.UNKNOWN_OFFSET, holdMs), holdMs + ANSWER_TIMEOUT_MS)
+        val pull = FeedPull(name, from?.offset ?: FeedCache.UNKNOWN_OFFSET, holdMs, from?.era ?: latestEra)
+        val answer = ask(source.id, pull, holdMs + ANSWER_TIMEOUT_MS)
         val nowMs = clock().steadyMs
         if (answer == null) {
             log.info("feed: {} got no answer from the reader {} within {} ms", name, source.id, nowMs - askedAt.steadyMs)
             sourceSelector.onNoAnswer(source.id, nowMs)
             return null
         }
-        val read = readOf(answer, askedAt)
+        val read = readOf(answer, askedAt)?.takeIf { isUsable(it, from) }
         val ageMs = clock().maxElapsedMsSince(FeedFreshness.provenAt(askedAt, answer.provenLeadMs))
         // Otherwise readers that the store refuses could confirm stale records to each other in a circle.
         val isCircular = isReader && !answer.isFirstHand
@@ -107,11 +109,16 @@
             return null
         }
         sourceSelector.onFreshAnswer(source.id)
-        onSourceUsed(source.id)
+        onSourceUsed(source.id, read)
         cache.onRead(read, isFirstHand = false)
         return read
     }
 
+    // Changes continue only the numbering in which they were asked for, and a reader may not know yet that the store has returned
+    // from an older copy.
+    private fun isUsable(read: FeedRead, from: FeedPosition?): Boolean =
+        read.next.era >= latestEra && (read.isSnapshot || read.next.era == from?.era)
+
     private fun readOf(answer: FeedAnswer, askedAt: ClockReading): FeedRead? {
         if (answer.nextOffset < 0) return null
         val records = decodeFeedRecords(answer.records)
@@ -120,7 +127,8 @@
             return null
         }
         val proven = FeedFreshness.provenAt(askedAt, answer.provenLeadMs)
-        return FeedRead(records, answer.nextOffset, answer.isSnapshot, proven, newRecoveryMs(answer, askedAt))
+        val next = FeedPosition(answer.era, answer.nextOffset)
+        return FeedRead(records, next, answer.isSnapshot, proven, newRecoveryMs(answer, askedAt))
     }
 
     // Answers repeat the last recovery of the store for a while, and readers notice that recovery at slightly different times.
@@ -132,7 +140,8 @@
         return atMs
     }
 
-    private fun onSourceUsed(source: InstanceId?) {
+    private fun onSourceUsed(source: InstanceId?, read: FeedRead) {
+        latestEra = read.next.era
         if (source != lastSource) log.info("feed: {} is read from {}", name, source?.let { "the reader $it" } ?: "the store")
         lastSource = source
     }
--- a/node/src/main/kotlin/org/godwitwick/node/peer/FeedMessages.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/FeedMessages.kt
@@ -10,11 +10,17 @@
  *
  * @property fromOffset offset from which changes are requested, or -1 for the newest record of each key.
  * @property holdMs longest time for which the receiver may delay its answer while there are no new records.
+ * @property era era of the store to which [fromOffset] belongs.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 @SerialName("fp")
-class FeedPull(@CborLabel(1) val feed: String, @CborLabel(2) val fromOffset: Long, @CborLabel(3) val holdMs: Long) : PeerMessage
+class FeedPull(
+    @CborLabel(1) val feed: String,
+    @CborLabel(2) val fromOffset: Long,
+    @CborLabel(3) val holdMs: Long,
+    @CborLabel(4) val era: Long = 0,
+) : PeerMessage
 
 /**
  * Answer to a [FeedPull]: an instance's copy of a feed.
@@ -27,6 +33,7 @@
  * @property isFirstHand whether the instance read the feed from the store itself rather than from a peer.
  * @property regainedLeadMs time at which the store answered again after an outage, relative to the arrival of the request,
  *   or null if there was no recent outage.
+ * @property era era of the store to which [nextOffset] belongs.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -38,6 +45,7 @@
     @CborLabel(4) val provenLeadMs: Long,
     @CborLabel(5) val isFirstHand: Boolean,
     @CborLabel(6) val regainedLeadMs: Long? = null,
+    @CborLabel(7) val era: Long = 0,
 ) : PeerMessage
 
 /** Records of a feed; [keys] and [values] are parallel lists. An empty value removes its key. */
--- a/node/src/test/kotlin/org/godwitwick/node/forward/FeedFollowerTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/FeedFollowerTest.kt
@@ -19,8 +19,9 @@
     private val notifications = ArrayList<String>()
     private val waits = ArrayList<Long>()
     private var provenAt: ClockReading? = null
+    private var newest = page(5, "a" to "1")
     private val feed = object : RecordFeed<String> {
-        override fun newest(): Result<StoredPage, FeedFailure> = Ok(page(5, "a" to "1"))
+        override fun newest(): Result<StoredPage, FeedFailure> = Ok(newest)
 
         override fun changes(fromOffset: Long, waitMs: Long): Result<StoredPage, FeedFailure> {
             waits += waitMs
@@ -59,8 +60,8 @@
     )
     private val follower = FeedFollower("test", reader, feed::decode, listener)
 
-    private fun page(nextOffset: Long, vararg records: Pair<String, String?>) =
-        StoredPage(records.map { (key, value) -> StoredRecord(key, value?.toByteArray()) }, nextOffset)
+    private fun page(nextOffset: Long, vararg records: Pair<String, String?>, era: Long = 1) =
+        StoredPage(records.map { (key, value) -> StoredRecord(key, value?.toByteArray()) }, nextOffset, era)
 
     private fun answer(afterMs: Long, result: Result<StoredPage, FeedFailure>) = answers.addLast {
         nowMs += afterMs
@@ -103,6 +104,17 @@
         expectThat(notifications).containsExactly("snapshot {a=1}", "snapshot {a=1}")
     }
 
+    // Guards against a feed that goes on at its old offset after the store has returned from an older copy, where that offset means
+    // another record: whatever was written before it is never read.
+    @Test
+    fun `a snapshot is read after the store has returned from an older copy`() {
+        follower.step()
+        answer(1, Ok(page(6, "c" to "3", era = 2)))
+        newest = page(6, "a" to "1", "b" to "2", "c" to "3", era = 2)
+        repeat(2) { follower.step() }
+        expectThat(notifications).containsExactly("snapshot {a=1}", "regained", "snapshot {a=1, b=2, c=3}")
+    }
+
     // Guards against an outage that seems to last until the first record after it. Seen in a fault-injection run ("hunted day") of
     // kasher with mix e5164442: the store had been available again for 3 s, and an upstream that then left got new work for 2 s more.
     @Test
--- a/node/src/test/kotlin/org/godwitwick/node/forward/SharedReaderTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/SharedReaderTest.kt
@@ -31,15 +31,24 @@
         val records = ArrayList<StoredRecord>()
         val refused = HashSet<InstanceId>()
         var isDown = false
+        var era = 1L
         var calls = 0
 
+        fun restore(size: Int) {
+            records.subList(size, records.size).clear()
+            era++
+        }
+
         fun feedOf(id: InstanceId) = object : RecordFeed<String> {
             override fun newest() = answer(id) {
-                StoredPage(records.associateBy { it.key }.values.toList(), records.size.toLong())
+                StoredPage(records.associateBy { it.key }.values.toList(), records.size.toLong(), era)
             }
 
-            override fun changes(fromOffset: Long, waitMs: Long) =
-                answer(id) { StoredPage(records.drop(fromOffset.toInt()), records.size.toLong()) }
+            override fun changes(fromOffset: Long, waitMs: Long) = if (fromOffset > records.size) {
+                Err(FeedFailure.HistoryDropped("gone"))
+            } else {
+                answer(id) { StoredPage(records.drop(fromOffset.toInt()), records.size.toLong(), era) }
+            }
 
             override fun decode(records: List<StoredRecord>) = records.map { it.key to it.value?.decodeToString() }
         }
@@ -214,6 +223,37 @@
         expectThat(nowMs - backMs).isEqualTo(2_000)
     }
 
+    // Guards against records that an instance never reads because the store has returned from an older copy and has given their
+    // offsets out again, and against followers that go on at such an offset through a reader.
+    @Test
+    fun `all instances know the records that the store has after its return from an older copy`() {
+        put("a", "1")
+        repeat(4) { put("b", "$it") }
+        advance(2_000)
+        store.restore(size = 1)
+        put("c", "1")
+        put("b", "4")
+        repeat(5) { put("d", "$it") }
+        advance(2_500)
+        expectThat(liveInstances().map { it.values }).all { isEqualTo(hashMapOf("a" to "1", "b" to "4", "c" to "1", "d" to "4")) }
+        expectThat(liveInstances().map { it.recoveries.size }).all { isEqualTo(1) }
+    }
+
+    // Guards against an instance that goes back to the records of before the return, which another instance still has.
+    @Test
+    fun `a reader that does not know of the store's return is not followed any more`() {
+        put("a", "1")
+        advance(2_000)
+        store.refused += readers.take(4).map { it.id }
+        put("a", "2")
+        store.restore(size = 1)
+        put("a", "3")
+        advance(3_000)
+        store.refused += readers.map { it.id }
+        advance(1_000)
+        expectThat(liveInstances().map { it.values["a"] }).all { isEqualTo("3") }
+    }
+
     @Test
     fun `an instance that has missed more changes than the readers keep gets the newest records`() {
         put("a", "1")
@@ -231,14 +271,19 @@
     @Test
     fun `a cache states an unknown offset for a pull from an offset that it has not reached`() {
         val cache = FeedCache({ ClockReading(nowMs, nowMs) }) { Executor { } }
-        expectThat(cache.answer(FeedPull("test", 0, 0)).join().nextOffset).isEqualTo(FeedCache.UNKNOWN_OFFSET)
+        expectThat(cache.answer(FeedPull("test", 0, 0, era = 1)).join().nextOffset).isEqualTo(FeedCache.UNKNOWN_OFFSET)
         cache.onRead(
-            FeedRead(listOf(StoredRecord("a", byteArrayOf(1))), 4, isSnapshot = true, ClockReading(nowMs, nowMs)),
+            FeedRead(
+                listOf(StoredRecord("a", byteArrayOf(1))),
+                FeedPosition(era = 1, 4),
+                isSnapshot = true,
+                ClockReading(nowMs, nowMs),
+            ),
             isFirstHand = true,
         )
-        expectThat(cache.answer(FeedPull("test", 9, 0)).join().nextOffset).isEqualTo(FeedCache.UNKNOWN_OFFSET)
-        expectThat(cache.answer(FeedPull("test", 2, 0)).join().isSnapshot).isTrue()
-        expectThat(cache.answer(FeedPull("test", 4, 0)).join().isSnapshot).isFalse()
+        expectThat(cache.answer(FeedPull("test", 9, 0, era = 1)).join().nextOffset).isEqualTo(FeedCache.UNKNOWN_OFFSET)
+        expectThat(cache.answer(FeedPull("test", 2, 0, era = 1)).join().isSnapshot).isTrue()
+        expectThat(cache.answer(FeedPull("test", 4, 0, era = 1)).join().isSnapshot).isFalse()
     }
 
     @Test
