Do not bring back upstreams that have left when the store returns from an older copy

The copy may name an upstream as ready that is leaving or has left since. Now that the newest records are read after the return, such a registration would give it new work, possibly after the time for leaving. UpstreamDirectoryTest: 'registrations of an older copy do not bring back ...'.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamEntry.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamEntry.kt
@@ -10,6 +10,7 @@
  * @property isLeaving whether the upstream is shutting down and must not receive new work.
  * @property startedAtMs start time of the process as Unix time in milliseconds, or null if unknown; a new value under the same
  *   [id] means a new process.
+ * @property sequence number that grows with each renewal of the registration by the same process, or null if unknown.
  */
 data class UpstreamEntry(
     val id: InstanceId,
@@ -19,6 +20,7 @@
     val slots: Int,
     val isLeaving: Boolean,
     val startedAtMs: Long?,
+    val sequence: Long? = null,
 ) {
     /** Identifies the process of the upstream: one that starts again under the same [id] has another key. */
     val processKey: String get() = "${id.value}/${startedAtMs ?: 0}"
--- a/core/src/test/kotlin/org/godwitwick/core/forward/ForwardFixture.kt
+++ b/core/src/test/kotlin/org/godwitwick/core/forward/ForwardFixture.kt
@@ -30,8 +30,8 @@
         passMs = 44.0,
     )
 
-internal fun upstream(id: String, isLeaving: Boolean = false, startedAtMs: Long? = 1) =
-    UpstreamEntry(InstanceId(id), "model", "10.0.0.1:80", "north-a", 11, isLeaving, startedAtMs)
+internal fun upstream(id: String, isLeaving: Boolean = false, startedAtMs: Long? = 1, sequence: Long? = null) =
+    UpstreamEntry(InstanceId(id), "model", "10.0.0.1:80", "north-a", 11, isLeaving, startedAtMs, sequence)
 
 internal fun view(id: String, work: UpstreamWork = UpstreamWork(), penaltyMs: Double = 0.0) =
     UpstreamView(upstream(id), work, penaltyMs)
--- a/core/src/test/kotlin/org/godwitwick/core/forward/UpstreamDirectoryTest.kt
+++ b/core/src/test/kotlin/org/godwitwick/core/forward/UpstreamDirectoryTest.kt
@@ -48,4 +48,34 @@
         directory.onRecord(a.id, upstream("a", isLeaving = true), nowMs = 10_001)
         expectThat(ids()).isEmpty()
     }
+
+    // Guards against new work for an upstream that has left, after the store has returned from a copy in which it is registered.
+    @Test
+    fun `registrations of an older copy do not bring back upstreams that are leaving or have left`() {
+        val old = mapOf(a.id to upstream("a", sequence = 4), b.id to upstream("b", sequence = 4))
+        directory.onSnapshot(old, nowMs = 0)
+        directory.onRecord(a.id, upstream("a", isLeaving = true, sequence = 6), nowMs = 10)
+        directory.onRecord(b.id, null, nowMs = 10)
+        directory.onStoreRecovered(nowMs = 1_000)
+        directory.onSnapshot(old, nowMs = 1_000)
+        expectThat(ids()).isEmpty()
+    }
+
+    // Guards against upstreams that stay unused because their registration expired while the store was away.
+    @Test
+    fun `an upstream that registers again after its registration expired is usable`() {
+        directory.onSnapshot(mapOf(a.id to upstream("a", sequence = 4)), nowMs = 0)
+        directory.onRecord(a.id, null, nowMs = 10)
+        directory.onStoreRecovered(nowMs = 1_000)
+        directory.onRecord(a.id, upstream("a", sequence = 5), nowMs = 1_100)
+        expectThat(ids()).containsExactly("a")
+    }
+
+    @Test
+    fun `a new process under the id of one that has left is usable`() {
+        directory.onSnapshot(mapOf(a.id to upstream("a", sequence = 9, startedAtMs = 1)), nowMs = 0)
+        directory.onRecord(a.id, upstream("a", isLeaving = true, sequence = 10, startedAtMs = 1), nowMs = 10)
+        directory.onRecord(a.id, upstream("a", sequence = 1, startedAtMs = 2), nowMs = 20)
+        expectThat(ids()).containsExactly("a")
+    }
 }
