Do not take a list of instances for the newest after the store has given its generation out again

The generation of the registered instances begins anew when the store returns from an older copy. An instance kept its list as long as the generation that it had seen was not exceeded, so it missed those that came and went meanwhile: their shares of common limits and budgets were counted wrongly, and requests for readers went to instances that had ended. A generation now belongs to an era of the store.

While the instances register again one after the other, those that are not listed yet count until their registrations would have expired, so that no share of a common limit grows meanwhile.

RegisteredFleetTest: two tests in model time, both of them for the new era.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
@@ -72,7 +72,7 @@
 
     private fun announceRegularly() {
         guarded {
-            if (transport == null) registry.sharedSecret().fold(::listen) { log.warn("peer: no shared secret: {}", it.message) }
+            if (transport == null) registry.sharedSecret(null).fold(::listen) { log.warn("peer: no shared secret: {}", it.message) }
             fleet.refresh()
         }
         try {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RegisteredFleet.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RegisteredFleet.kt
@@ -20,11 +20,13 @@
     private val registry: InstanceRegistry,
     private val ask: (to: InstanceId, pull: MembersPull) -> MembersAnswer?,
 ) {
-    private class InstanceList(val generation: Long, val instances: List<RegisteredInstance>)
+    private class InstanceList(val generation: FleetGeneration, val instances: List<RegisteredInstance>)
 
     private val size = FleetSize()
     private var missedRounds = 0
     private var knownFor: List<RegisteredInstance>? = null
+    private var carriedOver: List<RegisteredInstance> = emptyList()
+    private var carriedRounds = 0
 
     @Volatile
     private var latestList: InstanceList? = null
@@ -39,6 +41,11 @@
     var ids: List<InstanceId> = emptyList()
         private set
 
+    /** Era of the store in which this instance was registered last, or null before. */
+    @Volatile
+    var era: Long? = null
+        private set
+
     /** Plan of which instances read the store. */
     @Volatile
     var plan: ReaderPlan = ReaderPlan(emptyMap())
@@ -73,7 +80,8 @@
             ?.let(::onGeneration)
     }
 
-    private fun onGeneration(generation: Long) {
+    private fun onGeneration(generation: FleetGeneration) {
+        era = generation.era
         val known = latestList
         val current = known?.takeIf { it.generation >= generation } ?: readChange(generation, known != null)
         if (current == null) {
@@ -81,21 +89,35 @@
             return
         }
         missedRounds = 0
-        if (current !== known) adopt(current)
-        size.onRegistered(current.instances.size)
+        val isCarriedChanged = updateCarriedOver(known, current)
+        if (current !== known || isCarriedChanged) adopt(current)
+        size.onRegistered(others.size + 1)
         instanceCount = size.settled
-        if (size.settled != null && current.instances !== knownFor) {
+        if (size.settled != null && (current.instances !== knownFor || isCarriedChanged)) {
             knownFor = current.instances
             ids = (others.keys + self.id).toList()
         }
         largestCount = size.largest
     }
 
-    private fun readChange(generation: Long, knowsReaders: Boolean): InstanceList? {
+    // After the store has returned from an older copy, the instances register again one after the other. Those that are not listed
+    // yet count until their registrations would have expired. Returns whether the instances carried over have changed.
+    private fun updateCarriedOver(known: InstanceList?, current: InstanceList): Boolean {
+        if (known != null && current.generation.era > known.generation.era) {
+            carriedOver = known.instances
+            carriedRounds = TTL_PERIODS
+            return true
+        }
+        if (carriedRounds == 0 || --carriedRounds > 0) return false
+        carriedOver = emptyList()
+        return true
+    }
+
+    private fun readChange(generation: FleetGeneration, knowsReaders: Boolean): InstanceList? {
         val isFollower = knowsReaders && !plan.isReader(self.id)
         if (isFollower) {
             plan.sourcesOf(self.id, self.dataCentre).take(READERS_ASKED).forEach { reader ->
-                ask(reader, MembersPull(generation))?.let { return instanceListOf(it) }
+                ask(reader, MembersPull(generation.number, generation.era))?.let { return instanceListOf(it) }
             }
             // Readers learn of the change when they next renew their own registration.
             if (missedRounds < MAX_MISSED_ROUNDS) return null
@@ -108,7 +130,7 @@
 
     private fun adopt(current: InstanceList) {
         latestList = current
-        val newOthers = current.instances.filter { it.id != self.id }.associateBy { it.id }
+        val newOthers = (carriedOver + current.instances).filter { it.id != self.id }.associateBy { it.id }
         if (newOthers != others) log.info("peer: {} other instances are registered", newOthers.size)
         others = newOthers
         plan = ReaderPlan.of((newOthers.values + self).associate { it.id to it.dataCentre })
@@ -116,12 +138,13 @@
 
     /** Answers [pull] of another instance; returns null if this instance does not know that generation yet. */
     fun answer(pull: MembersPull): MembersAnswer? {
-        val known = latestList?.takeIf { it.generation >= pull.generation } ?: return null
+        val known = latestList?.takeIf { it.generation >= FleetGeneration(pull.era, pull.generation) } ?: return null
         return MembersAnswer(
-            known.generation,
+            known.generation.number,
             known.instances.map { it.id.value },
             known.instances.map { it.dataCentre },
             known.instances.map { it.address },
+            known.generation.era,
         )
     }
 
@@ -130,7 +153,7 @@
             val dataCentre = answer.dataCentres.getOrNull(i) ?: return@mapNotNull null
             answer.addresses.getOrNull(i)?.let { RegisteredInstance(InstanceId(answer.ids[i]), dataCentre, it) }
         }
-        return InstanceList(answer.generation, instances)
+        return InstanceList(FleetGeneration(answer.era, answer.generation), instances)
     }
 
     private companion object {
--- a/node/src/main/kotlin/org/godwitwick/node/peer/FeedMessages.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/FeedMessages.kt
@@ -54,14 +54,14 @@
 class FeedRecords(@CborLabel(1) val keys: List<String>, @CborLabel(2) val values: List<ByteArray>)
 
 /**
- * Request for the instances registered as of [generation] of the registry or later. Answered by [MembersAnswer] or not at all.
+ * Request for the instances registered as of [generation] of the registry in [era] or later. Answered by [MembersAnswer] or not at all.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 @SerialName("mp")
-class MembersPull(@CborLabel(1) val generation: Long) : PeerMessage
+class MembersPull(@CborLabel(1) val generation: Long, @CborLabel(2) val era: Long = 0) : PeerMessage
 
-/** The instances registered as of [generation] of the registry; [ids], [dataCentres] and [addresses] are parallel lists. */
+/** The instances registered as of [generation] of the registry in [era]; [ids], [dataCentres] and [addresses] are parallel lists. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 @SerialName("ma")
@@ -70,4 +70,5 @@
     @CborLabel(2) val ids: List<String>,
     @CborLabel(3) val dataCentres: List<String>,
     @CborLabel(4) val addresses: List<String>,
+    @CborLabel(5) val era: Long = 0,
 ) : PeerMessage
--- a/node/src/test/kotlin/org/godwitwick/node/forward/RegisteredFleetTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/RegisteredFleetTest.kt
@@ -15,14 +15,15 @@
     private class Store {
         val registered = LinkedHashMap<InstanceId, RegisteredInstance>()
         var generation = 0L
+        var era = 1L
         var listReads = 0
         var isDown = false
 
         fun registry() = object : InstanceRegistry {
-            override fun announce(self: RegisteredInstance, ttlMs: Long): Result<Long, FeedFailure> {
+            override fun announce(self: RegisteredInstance, ttlMs: Long): Result<FleetGeneration, FeedFailure> {
                 if (isDown) return Err(FeedFailure.Unreachable("down"))
                 if (registered.put(self.id, self) == null) generation++
-                return Ok(generation)
+                return Ok(FleetGeneration(era, generation))
             }
 
             override fun instances(): Result<List<RegisteredInstance>, FeedFailure> {
@@ -30,13 +31,19 @@
                 return if (isDown) Err(FeedFailure.Unreachable("down")) else Ok(registered.values.toList())
             }
 
-            override fun sharedSecret(): Result<ByteArray, FeedFailure> = Ok(ByteArray(1))
+            override fun sharedSecret(known: ByteArray?): Result<ByteArray, FeedFailure> = Ok(ByteArray(1))
         }
 
         fun remove(id: InstanceId) {
             registered.remove(id)
             generation++
         }
+
+        fun restore() {
+            registered.clear()
+            generation = 0
+            era++
+        }
     }
 
     private val store = Store()
@@ -90,6 +97,28 @@
         expectThat(fleets.filterKeys { it !in failed }.values.map { it.others.size }).all { isEqualTo(30) }
     }
 
+    // Guards against a list that is taken for the newest because the store gives its generation out again after its return from an
+    // older copy.
+    @Test
+    fun `a change is known although the store has given its generation out again`() {
+        startAll(9)
+        store.restore()
+        fleets.remove(InstanceId("entry-9"))
+        add(10)
+        rounds(6)
+        expectThat(fleets.values.map { fleet -> fleet.others.keys + fleet.ids }.toSet().single().map { it.value }.toSet())
+            .isEqualTo((1..8).plus(10).map { "entry-$it" }.toSet())
+    }
+
+    // Guards against shares of a common limit that grow while the instances register again one after the other.
+    @Test
+    fun `no instance is forgotten while all register again after the store's return from an older copy`() {
+        startAll(9)
+        store.restore()
+        fleets.values.take(3).forEach { it.refresh() }
+        expectThat(fleets.values.map { it.others.size }).all { isEqualTo(8) }
+    }
+
     @Test
     fun `known instances are kept while the store is unreachable`() {
         startAll(30)
