Write the secret of the instances again if the store has returned without it

If the copy is older than the fleet, the secret that the instances share is gone. An instance that starts then creates another one, and neither it nor the others reach each other: no loads, no statements of upstreams, no quarantines, no records through readers. Each instance now reads the secret again in a new era, stores its own if there is none, and takes the stored one if another was first.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
@@ -44,6 +44,8 @@
 
     @Volatile
     private var transport: PeerTransport? = null
+    private var secret: ByteArray? = null
+    private var secretEra: Long? = null
     private val loadExchange = LoadExchange(self, loads, peerLoads) { to, message -> transport?.send(to, message) }
     private val quarantineExchange =
         QuarantineExchange(crashGuard::lastingRows, Random.Default) { to, message -> transport?.send(to, message) }
@@ -72,8 +74,11 @@
 
     private fun announceRegularly() {
         guarded {
-            if (transport == null) registry.sharedSecret(null).fold(::listen) { log.warn("peer: no shared secret: {}", it.message) }
+            if (transport == null) readSecret()
             fleet.refresh()
+            // A store that has returned from an older copy may have no secret or another one.
+            if (secretEra != null && secretEra != fleet.era) readSecret()
+            secretEra = fleet.era
         }
         try {
             registration.schedule(::announceRegularly, fleet.periodMs, TimeUnit.MILLISECONDS)
@@ -82,6 +87,18 @@
         }
     }
 
+    private fun readSecret() =
+        registry.sharedSecret(secret).fold(::onSecret) { log.warn("peer: no shared secret: {}", it.message) }
+
+    private fun onSecret(stored: ByteArray) {
+        if (transport != null && stored.contentEquals(secret)) return
+        if (transport != null) log.warn("peer: the shared secret has changed; connecting to the other instances again")
+        transport?.close()
+        transport = null
+        secret = stored
+        listen(stored)
+    }
+
     private fun listen(secret: ByteArray) {
         val directory = object : PeerDirectory {
             override fun addressOf(id: InstanceId): String? = fleet.others[id]?.address
