Serve the requests of an instance that is cut off from all upstreams through another one

A request tried four upstreams for 150 ms each, got 503, and its caller mostly came back to the same instance.

Cause: an instance judged each upstream by itself and never concluded that the fault was its own; it had no other way to an upstream than its own link.

Change: three different upstreams that accept no connection, and none that does in between, are a cut (UpstreamReach). Requests then go through another instance (Relay), which decides all of it and states whether the request was sent to any upstream. It relays nothing again; runs and the request are counted once.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/ForwardRoute.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/ForwardRoute.kt
@@ -25,6 +25,9 @@
     val maxRuns: Int,
     val isPublic: Boolean,
 ) {
+    /** Returns this route with at most [runs] upstreams on which one request may run. */
+    fun limitedTo(runs: Int): ForwardRoute = copy(maxRuns = maxRuns.coerceAtMost(runs))
+
     /** Selects the service for a request by weight; [draw] is a random number in [0, 1). */
     fun serviceFor(draw: Double): String {
         var remaining = draw * split.sumOf { it.weight }
--- /dev/null
+++ b/core/src/test/kotlin/org/godwitwick/core/forward/UpstreamReachTest.kt
@@ -0,0 +1,36 @@
+package org.godwitwick.core.forward
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+
+class UpstreamReachTest {
+    private val reach = UpstreamReach()
+
+    @Test
+    fun `three different upstreams that accept no connection are a cut`() {
+        (1..3).forEach { reach.onConnectFailed("10.0.0.$it:80", nowMs = it * 150L) }
+        expectThat(reach.isCutOff).isTrue()
+        reach.onConnected()
+        expectThat(reach.isCutOff).isFalse()
+    }
+
+    // Guards against crashed upstreams that are taken for a cut of this instance.
+    @Test
+    fun `one upstream that fails often is no cut, nor are several while others accept connections`() {
+        repeat(20) { reach.onConnectFailed("10.0.0.1:80", nowMs = it * 10L) }
+        expectThat(reach.isCutOff).isFalse()
+        (1..9).forEach {
+            reach.onConnectFailed("10.0.0.$it:80", nowMs = 300)
+            if (it % 2 == 0) reach.onConnected()
+        }
+        expectThat(reach.isCutOff).isFalse()
+    }
+
+    @Test
+    fun `failures that are far apart are no cut`() {
+        (1..9).forEach { reach.onConnectFailed("10.0.0.$it:80", nowMs = it * 2_000L) }
+        expectThat(reach.isCutOff).isFalse()
+    }
+}
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -40,23 +40,28 @@
  *
  * @param connectTimeoutMs time within which a connection must be established.
  * @param onStatement called with what an upstream states about itself in an answer.
+ * @param onConnect notified of the outcome of each connection attempt to an upstream.
  */
 class ForwardClient(
     private val dialect: ForwardDialect,
     connectTimeoutMs: Long,
     private val onStatement: (UpstreamEntry, UpstreamStatement) -> Unit,
+    private val onConnect: ConnectListener,
 ) {
-    private val pooled = noRetryClientBuilder().plainHttp()
+    private val toPeers = noRetryClientBuilder().plainHttp()
         .connectTimeout(connectTimeoutMs, TimeUnit.MILLISECONDS)
         // RunGuard cancels calls that are silent or take too long.
         .readTimeout(0, TimeUnit.MILLISECONDS)
         .writeTimeout(0, TimeUnit.MILLISECONDS)
-        .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_TIMEOUT_MS, TimeUnit.MILLISECONDS))
+        .connectionPool(newPool())
         .addNetworkInterceptor(WriteGateInterceptor)
         .build()
+    private val toPeersUnpooled = toPeers.newBuilder().connectionPool(noPool()).build()
+
+    private val pooled = toPeers.newBuilder().connectionPool(newPool()).eventListener(ConnectObserver(onConnect)).build()
 
     // A pooled connection that the upstream has just closed could fail after the first byte was sent, with an unknown outcome.
-    private val unpooled = pooled.newBuilder().connectionPool(ConnectionPool(0, 1, TimeUnit.NANOSECONDS)).build()
+    private val unpooled = pooled.newBuilder().connectionPool(noPool()).build()
 
     /** Returns why [request] cannot be sent unchanged, or null if it can. */
     fun requestFaultOf(request: CallerRequest): String? {
@@ -98,6 +103,52 @@
         }
     }
 
+    /** Closes the idle connections to upstreams, which may be silent for good. */
+    fun closeIdle() = pooled.connectionPool.evictAll()
+
+    /** Sends [call] with [body] to another instance; the other parameters are those of [send]. */
+    fun relay(
+        call: RelayCall,
+        body: ByteArray,
+        needsNewConnection: Boolean,
+        guard: RunGuard,
+        onStart: (Call) -> Unit,
+    ): SendResult {
+        val gate = WriteGate()
+        val headers = dialect.encodeRelayed(call) + RelayHeaders.encode(call.hop)
+        val url = "http://${call.peer.callerAddress}${call.request.target}"
+        val client = if (needsNewConnection) toPeersUnpooled else toPeers
+        val sent = client.newCall(requestOf(call.request, url, headers, body, gate))
+        onStart(sent)
+        return try {
+            relayedHeadOf(call, sent, sent.execute(), gate)
+        } catch (e: IOException) {
+            SendResult.Ended(endOf(e, gate, guard))
+        }
+    }
+
+    private fun relayedHeadOf(call: RelayCall, sent: Call, response: Response, gate: WriteGate): SendResult {
+        val outcome = response.header(RelayHeaders.OUTCOME_NAME)
+        val head = dialect.decodeHead(response.code, withRetryAfter(response.headers, gate))
+            .let { head -> head.copy(headers = head.headers.filterNot { RelayHeaders.isOwn(it.first) }) }
+        val open = SendResult.Open(head, response, sent)
+        if (!RelayHeaders.isOutcome(outcome) || head.requestId != call.request.id) {
+            open.abort()
+            open.close()
+            return SendResult.Ended(AttemptEnd.Broken("the instance's answer is not for this request"))
+        }
+        // The other instance may have an older configuration, or no way to an upstream either.
+        val isNotSent = RelayHeaders.isNotSent(outcome)
+        if (!isNotSent && head.status !in NOT_EXECUTED_STATUSES) return open
+        open.close()
+        val end = if (isNotSent) {
+            AttemptEnd.NotSent("the instance refused with ${head.status}")
+        } else {
+            AttemptEnd.Refused(head.status, head.retryAfterMs)
+        }
+        return SendResult.Ended(end)
+    }
+
     /**
      * Sends [order] to the engine at [address]; returns the status of the reply, or null if there was none within [timeoutMs].
      */
@@ -160,16 +211,23 @@
         return AttemptEnd.Broken(cause, isConnectionLost = guard.cancelReason == null)
     }
 
-    private fun requestOf(call: UpstreamCall, body: ByteArray, gate: WriteGate): Request {
-        val request = Request.Builder().url("http://${call.upstream.address}${call.request.target}")
-            .tag(WriteGate::class.java, gate)
-        val encoded = dialect.encode(call)
-        encoded.forEach { (name, value) -> request.addHeader(name, value) }
+    private fun requestOf(call: UpstreamCall, body: ByteArray, gate: WriteGate): Request =
+        requestOf(call.request, "http://${call.upstream.address}${call.request.target}", dialect.encode(call), body, gate)
+
+    private fun requestOf(
+        request: CallerRequest,
+        url: String,
+        headers: List<Pair<String, String>>,
+        body: ByteArray,
+        gate: WriteGate,
+    ): Request {
+        val builder = Request.Builder().url(url).tag(WriteGate::class.java, gate)
+        headers.forEach { (name, value) -> builder.addHeader(name, value) }
         // Otherwise OkHttp would add its own Accept-Encoding.
-        if (encoded.none { it.first.equals(ACCEPT_ENCODING, ignoreCase = true) }) request.header(ACCEPT_ENCODING, "identity")
+        if (headers.none { it.first.equals(ACCEPT_ENCODING, ignoreCase = true) }) builder.header(ACCEPT_ENCODING, "identity")
         // The caller's Content-Type is among the headers.
-        val content = if (call.request.method in METHODS_WITHOUT_BODY) null else OneShotBody(body, null)
-        return request.method(call.request.method, content).build()
+        val content = if (request.method in METHODS_WITHOUT_BODY) null else OneShotBody(body, null)
+        return builder.method(request.method, content).build()
     }
 
     private companion object {
@@ -183,5 +241,9 @@
         val METHODS_WITHOUT_BODY = setOf("GET", "HEAD")
         val SUCCESS = 200..299
         val NOT_EXECUTED_STATUSES = setOf(408, 421, 429, 503)
+
+        fun newPool() = ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+
+        fun noPool() = ConnectionPool(0, 1, TimeUnit.NANOSECONDS)
     }
 }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
@@ -25,5 +25,6 @@
     val statements: UpstreamStatements,
     val metrics: ForwardMetrics,
     val random: Random,
+    val relay: Relay,
     val onLongPromptPlaced: () -> Unit,
 )
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardDialect.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardDialect.kt
@@ -21,6 +21,9 @@
     /** Encodes all headers of [call] except those of the connection. */
     fun encode(call: UpstreamCall): List<Pair<String, String>>
 
+    /** Encodes all headers of [call] except those of the connection and of the relay itself. */
+    fun encodeRelayed(call: RelayCall): List<Pair<String, String>>
+
     /** Decodes the head of an upstream's answer. */
     fun decodeHead(status: Int, headers: Headers): AnswerHead
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
@@ -31,9 +31,16 @@
     /** Answers [request]. */
     fun answer(request: Request, caller: CallerWatch): Response {
         val decoded = context.dialect.decode(request).getOrElse { return refuse(it, "") }
-        return forwardDecoded(decoded, request, caller).getOrElse { refuse(it, decoded.id) }
+        val hop = RelayHeaders.hopOf(request) ?: return answer(decoded, request, caller)
+        val relayed = decoded.copy(headers = decoded.headers.filterNot { RelayHeaders.isOwn(it.first) }, hop = hop)
+        return RelayHeaders.withOutcome(answer(relayed, request, caller), wasSent = true)
     }
 
+    private fun answer(decoded: CallerRequest, request: Request, caller: CallerWatch): Response =
+        forwardDecoded(decoded, request, caller).getOrElse { failure ->
+            refuse(failure, decoded.id).let { if (decoded.hop != null) RelayHeaders.withOutcome(it, wasSent = false) else it }
+        }
+
     private fun forwardDecoded(decoded: CallerRequest, request: Request, caller: CallerWatch): Result<Response, Failure> {
         refusal()?.let { return Err(it.copy(retryAfterMs = 0)) }
         if (runWatch.count >= maxInFlight) return Err(Failure(ErrorKind.OVERLOADED, "too many requests are in flight"))
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMessages.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMessages.kt
@@ -13,6 +13,7 @@
  * @property sharedParts ids of the parts of the prompt that other requests may have as well; its own last part is left out.
  * @property lastEventId id of the last event of an earlier stream that the caller continues, or null.
  * @property headers headers that are forwarded unchanged.
+ * @property hop how it came through another instance, or null if it came from its caller.
  */
 data class CallerRequest(
     val id: String,
@@ -25,6 +26,7 @@
     val sharedParts: List<String>,
     val lastEventId: Long?,
     val headers: List<Pair<String, String>>,
+    val hop: RelayHop? = null,
 ) {
     /** The path without the query. */
     val path: String get() = target.substringBefore('?')
@@ -49,6 +51,20 @@
     val lastEventId: Long?,
 )
 
+/**
+ * A request as it is sent to another instance, which serves it in place of this one.
+ *
+ * @property remainingMs remaining time until the request's deadline.
+ * @property lastEventId id of the last event that the caller has, or null if it has none.
+ */
+data class RelayCall(
+    val request: CallerRequest,
+    val peer: RegisteredInstance,
+    val remainingMs: Long,
+    val lastEventId: Long?,
+    val hop: RelayHop,
+)
+
 /**
  * What an upstream states about itself in an answer.
  *
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
@@ -11,12 +11,14 @@
  * @param quarantinedCount returns the number of traits for which requests are refused.
  * @param limitedCount returns the number of upstreams that state a limit.
  * @param leavingCount returns the number of registered upstreams that have stated that they are leaving.
+ * @param cutOff returns 1 while this instance is cut off from all upstreams, otherwise 0.
  */
 class ForwardMetrics(
     registry: PrometheusRegistry,
     quarantinedCount: () -> Int,
     limitedCount: () -> Int,
     leavingCount: () -> Int,
+    cutOff: () -> Int,
 ) {
     private val requests = Counter.builder()
         .name("godwitwick_forwarded_requests_total")
@@ -30,6 +32,12 @@
         .labelNames("service")
         .withoutExemplars()
         .register(registry)
+    private val relayed = Counter.builder()
+        .name("godwitwick_forward_relayed_total")
+        .help("Sends of requests to other instances, by result.")
+        .labelNames("result")
+        .withoutExemplars()
+        .register(registry)
     private val firstByte =
         histogram(registry, "godwitwick_forward_first_byte_seconds", "Time from the arrival to the first byte.")
     private val duration =
@@ -49,8 +57,12 @@
         )
         gauge(registry, "godwitwick_forward_limited_upstreams", "Upstreams that state a limit.", limitedCount)
         gauge(registry, "godwitwick_forward_leaving_upstreams", "Registered upstreams that have stated they leave.", leavingCount)
+        gauge(registry, "godwitwick_forward_cut_off", "Whether no upstream accepts connections of this instance.", cutOff)
     }
 
+    /** Counts a send to another instance that ended with [result]. */
+    fun recordRelay(result: String) = relayed.labelValues(result).inc()
+
     private fun gauge(registry: PrometheusRegistry, name: String, help: String, value: () -> Int) =
         GaugeWithCallback.builder().name(name).help(help).callback { it.call(value().toDouble()) }.register(registry)
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -36,7 +36,12 @@
     private val control = ControlThread(metrics::controlQueueDelay)
     private val loads = UpstreamLoads()
     private val peerLoads = PeerLoads()
-    private val self = RegisteredInstance(InstanceId(settings.instanceName), settings.dataCentre, settings.peerAddress)
+    private val self = RegisteredInstance(
+        InstanceId(settings.instanceName),
+        settings.dataCentre,
+        settings.peerAddress,
+        "${settings.listenHost}:${settings.listenPort}".takeIf { settings.listenPort > 0 },
+    )
     private val caches = listOf(CONFIG_FEED, UPSTREAM_FEED).associateWith { FeedCache(Clocks::read) }
     private val crashGuard = CrashGuard(Clocks::steadyMs) { rows -> peers.sendQuarantine(rows) }
     private val peers: ForwardPeers = ForwardPeers(self, registry, loads, peerLoads, caches, crashGuard) { statements.onRow(it) }
@@ -44,7 +49,14 @@
         UpstreamStatements(self.id, { peers.fleet.ids }, Clocks::steadyMs) { row -> peers.sendStatement(row) }
     private val freshness = KeyFreshness(settings.revocationMs)
     private val fleetView = FleetView(control, loads, statements, Clocks::steadyMs)
-    private val client = ForwardClient(dialect, CONNECT_TIMEOUT_MS, statements::onAnswer)
+    private val relay: Relay = Relay(
+        peers.fleet::others,
+        { fleetView.upstreams.values.flatten().map { it.address } },
+        CONNECT_TIMEOUT_MS,
+        Clocks::steadyMs,
+        Random.Default,
+    ) { client.closeIdle() }
+    private val client: ForwardClient = ForwardClient(dialect, CONNECT_TIMEOUT_MS, statements::onAnswer, relay)
     private val reservations = Reservations(client, dialect, holdMsOf(settings))
     private val runs = RunWatch(Clocks::steadyMs)
     private val inFlight = InFlightExchanges()
@@ -70,8 +82,10 @@
             crashGuard::quarantinedCount,
             statements::limitedCount,
             statements::leavingCount,
+            { if (relay.isCutOff) 1 else 0 },
         ),
         random = Random.Default,
+        relay = relay,
         onLongPromptPlaced = peers::sendLoadSoon,
     )
     private val configFollower = follower(CONFIG_FEED, configFeed, FeedPacings.ofConfig(settings), fleetView.configListener)
@@ -120,6 +134,7 @@
         configFollower.start()
         upstreamFollower.start()
         peers.start()
+        relay.start()
         operations.start()
         server.start()
         log.info("start: {} serves callers on {}:{}", settings.instanceName, settings.listenHost, settings.listenPort)
@@ -161,6 +176,7 @@
         configFollower.close()
         upstreamFollower.close()
         peers.close()
+        relay.close()
         server.stop()
         operations.stop()
         reservations.close()
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -1,6 +1,7 @@
 package org.godwitwick.node.forward
 
 import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
 import org.godwitwick.core.error.Failure
 import org.godwitwick.core.forward.AdmittedTarget
 import org.godwitwick.core.forward.AttemptEnd
@@ -18,6 +19,7 @@
 import org.godwitwick.core.forward.failureOf
 import org.godwitwick.core.forward.nextStep
 import org.godwitwick.core.forward.urgencyOf
+import org.godwitwick.core.model.InstanceId
 import org.http4k.core.Body
 import org.http4k.core.Response
 import org.http4k.core.Status
@@ -43,6 +45,8 @@
     private val placer = RequestPlacer(context, request)
     private val turn = PrefillTurn(context, request.id, guard)
     private val crashes = CrashObserver(context.crashGuard, request, body)
+    private val relayedTo = HashSet<InstanceId>()
+    private var failedConnections = 0
     private var counts = SendCounts()
     private var lastEnd: AttemptEnd? = null
     private var firstByteMs: Long? = null
@@ -85,20 +89,53 @@
     private fun nextAttempt(lastEventId: Long?): Outcome? {
         val admitted = admit().getOrElse { return Outcome.Failed(it) }
         context.crashGuard.quarantinedTraitOf(request, body)?.let { return Outcome.Failed(RunFailures.quarantined(it)) }
+        if (request.hop != null && context.relay.isCutOff) return Outcome.Failed(RunFailures.cutOff())
+        nextPeer()?.let { return attemptThrough(it, admitted.route, lastEventId) }
         val serviceName = service ?: admitted.route.serviceFor(context.random.nextDouble()).also { onServiceChosen(it) }
         return attempt(admitted, serviceName, lastEventId)
     }
 
     private fun onServiceChosen(serviceName: String) {
         service = serviceName
-        context.budgets.onRequest(serviceName, Clocks.steadyMs())
+        if (request.hop?.isCounted != true) context.budgets.onRequest(serviceName, Clocks.steadyMs())
     }
 
     private fun admit() = context.admission.admit(
         ForwardTarget(request.host, request.path, request.key),
         context.fleetView.routing,
         Clocks.read(),
-    )
+    ).map { if (request.hop == null) it else it.copy(route = it.route.limitedTo(request.hop.maxRuns)) }
+
+    // Returns the instance through which the request goes next, or null if this instance sends it itself.
+    private fun nextPeer(): RegisteredInstance? {
+        if (request.hop != null) return null
+        val reachesNone = context.relay.isCutOff || failedConnections >= MIN_FAILED_BEFORE_RELAY
+        return if (reachesNone) context.relay.choose(relayedTo) else null
+    }
+
+    // Returns null if the request is to be placed again, or sent through another instance.
+    private fun attemptThrough(peer: RegisteredInstance, route: ForwardRoute, lastEventId: Long?): Outcome? {
+        turn.end(elapsedMs())
+        relayedTo += peer.id
+        log.info("forward: {} goes through {}", request.id, peer.id)
+        val hop = RelayHop(route.maxRuns - counts.mayHaveRun, isCounted = service != null)
+        val call = RelayCall(request, peer, remainingMs(), lastEventId, hop)
+        val result = context.client.relay(call, body, needsNewConnection = !route.kind.isIdempotent, guard) { sent ->
+            guard.attach(sent, null, retries.silencePolicyOf(emptyList()), Clocks.steadyMs())
+        }
+        val sender =
+            UpstreamEntry(peer.id, "", peer.callerAddress.orEmpty(), peer.dataCentre, 0, isLeaving = false, startedAtMs = null)
+        val outcome = when (result) {
+            is SendResult.Ended -> null
+            is SendResult.Open -> readAnswer(result, route, sender, null, guard::detach)
+        }
+        if (outcome is Outcome.Stream) return outcome.also { context.metrics.recordRelay("stream") }
+        if (outcome !is Outcome.Single || outcome.largeBody == null) guard.detach()
+        val end = if (result is SendResult.Ended) result.end else null
+        if (end is AttemptEnd.NotSent) context.relay.onRefused(peer.id)
+        context.metrics.recordRelay(if (end == null) "answered" else end.javaClass.simpleName)
+        return if (end != null) decideNext(route, null, end, null) else onAnswerRead(route, null, outcome as Outcome.Single?)
+    }
 
     // Returns null if the request is to be placed again, at another upstream or later.
     private fun attempt(admitted: AdmittedTarget, serviceName: String, lastEventId: Long?): Outcome? {
@@ -148,7 +185,11 @@
         if (outcome is Outcome.Stream) return outcome
         if (outcome !is Outcome.Single || outcome.largeBody == null) endAttempt()
         return when (result) {
-            is SendResult.Ended -> decideNext(admitted.route, placement.upstream, result.end, result.faultyAddress)
+            is SendResult.Ended -> {
+                if (result.end is AttemptEnd.NotSent) failedConnections++
+                decideNext(admitted.route, placement.upstream, result.end, result.faultyAddress)
+            }
+
             is SendResult.Open -> onAnswerRead(admitted.route, placement.upstream, outcome as Outcome.Single?)
         }
     }
@@ -180,7 +221,7 @@
         open: SendResult.Open,
         route: ForwardRoute,
         upstream: UpstreamEntry,
-        progress: UpstreamLoads.WorkInProgress,
+        progress: UpstreamLoads.WorkInProgress?,
         endAttempt: () -> Unit,
     ): Outcome? = try {
         val source = open.response.body.source()
@@ -189,8 +230,10 @@
             val first = reader.next()
             // Without an event and without the end of its chunks, the answer is no stream, or was cut off before its first event.
             if (first == null && !open.isChunked) throw MalformedAnswerException("the stream has no event and no end")
-            progress.onPrefillDone()
-            eventGapTimeoutMs = context.streamTimeouts.eventGapTimeoutMs(route, counts.mayHaveRun)
+            progress?.onPrefillDone()
+            // The instance that serves a relayed request notices the silence of its upstream first.
+            val marginMs = if (progress == null) RELAY_SILENCE_MARGIN_MS else 0
+            eventGapTimeoutMs = context.streamTimeouts.eventGapTimeoutMs(route, counts.mayHaveRun)?.plus(marginMs)
             guard.restartSilenceTimer(eventGapTimeoutMs, Clocks.steadyMs())
             Outcome.Stream(UpstreamStream(open.head, upstream, first, open, reader, endAttempt))
         } else if (source.request(MAX_BUFFERED_BYTES + 1)) {
@@ -215,7 +258,7 @@
         null
     }
 
-    private fun onAnswerRead(route: ForwardRoute, upstream: UpstreamEntry, outcome: Outcome.Single?): Outcome? {
+    private fun onAnswerRead(route: ForwardRoute, upstream: UpstreamEntry?, outcome: Outcome.Single?): Outcome? {
         if (outcome == null) return decideNext(route, upstream, lastEnd ?: AttemptEnd.Broken("no answer"), null)
         if (outcome.largeBody != null) return outcome
         return decideNext(route, upstream, AttemptEnd.Answered(outcome.head.status), null, outcome)
@@ -231,7 +274,7 @@
     ): Outcome? {
         counts += end
         lastEnd = end
-        upstream?.let {
+        upstream?.takeIf { it.id !in relayedTo }?.let {
             penaliseFault(it, end, faultyAddress)
             crashes.onEnd(it, end)
         }
@@ -320,7 +363,8 @@
     private fun failedResponse(failure: Failure): Response {
         val final = adjustedForSends(failure, counts)
         recordEnd(null, "failed with ${final.kind.code}: ${final.message}")
-        return context.dialect.failureResponse(final, request.id)
+        val response = context.dialect.failureResponse(final, request.id)
+        return if (request.hop == null) response else RelayHeaders.withOutcome(response, counts.mayHaveRun + counts.refused > 0)
     }
 
     private fun deadlineFailure(): Failure? {
@@ -358,6 +402,12 @@
         /** With less time left a send would not be answered in time. */
         const val MIN_SEND_MS = 20L
 
+        /** One upstream that does not accept a connection has mostly crashed; a second one is a reason to try another way. */
+        const val MIN_FAILED_BEFORE_RELAY = 2
+
+        /** Time within which the other instance continues a stream at another upstream. */
+        const val RELAY_SILENCE_MARGIN_MS = 300L
+
         /** Bounds the length of a log line. */
         const val MAX_LOGGED_PARTS = 8
         val log = LoggerFactory.getLogger(ForwardRun::class.java)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/InstanceRegistry.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/InstanceRegistry.kt
@@ -3,8 +3,13 @@
 import com.github.michaelbull.result.Result
 import org.godwitwick.core.model.InstanceId
 
-/** An instance of the fleet; [address] is the `ip:port` on which it accepts its peers. */
-data class RegisteredInstance(val id: InstanceId, val dataCentre: String, val address: String)
+/**
+ * An instance of the fleet.
+ *
+ * @property address `ip:port` on which it accepts its peers.
+ * @property callerAddress `ip:port` on which it accepts requests, or null if it takes none of other instances.
+ */
+data class RegisteredInstance(val id: InstanceId, val dataCentre: String, val address: String, val callerAddress: String? = null)
 
 /**
  * Generation of the registered instances. [number] grows with each change of the registered instances, and begins anew with each
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RegisteredFleet.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RegisteredFleet.kt
@@ -145,13 +145,15 @@
             known.instances.map { it.dataCentre },
             known.instances.map { it.address },
             known.generation.era,
+            known.instances.map { it.callerAddress.orEmpty() },
         )
     }
 
     private fun instanceListOf(answer: MembersAnswer): InstanceList {
         val instances = answer.ids.indices.mapNotNull { i ->
             val dataCentre = answer.dataCentres.getOrNull(i) ?: return@mapNotNull null
-            answer.addresses.getOrNull(i)?.let { RegisteredInstance(InstanceId(answer.ids[i]), dataCentre, it) }
+            val callerAddress = answer.callerAddresses.getOrNull(i)?.ifEmpty { null }
+            answer.addresses.getOrNull(i)?.let { RegisteredInstance(InstanceId(answer.ids[i]), dataCentre, it, callerAddress) }
         }
         return InstanceList(FleetGeneration(answer.era, answer.generation), instances)
     }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunFailures.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunFailures.kt
@@ -48,6 +48,13 @@
         )
     }
 
+    /** This instance reaches no upstream and serves no requests of other instances meanwhile. */
+    fun cutOff() = Failure(
+        ErrorKind.NO_UPSTREAM,
+        "no upstream accepts connections of this instance",
+        retryAfterMs = NO_UPSTREAM_RETRY_MS,
+    )
+
     /** The deadline has passed after the sends in [counts]. */
     fun deadline(counts: SendCounts): Failure {
         val ran = if (counts.mayHaveRun > 0) Executed.UNKNOWN else Executed.NO
--- a/node/src/main/kotlin/org/godwitwick/node/peer/FeedMessages.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/FeedMessages.kt
@@ -61,7 +61,7 @@
 @SerialName("mp")
 class MembersPull(@CborLabel(1) val generation: Long, @CborLabel(2) val era: Long = 0) : PeerMessage
 
-/** The instances registered as of [generation] of the registry in [era]; [ids], [dataCentres] and [addresses] are parallel lists. */
+/** The instances registered as of [generation] of the registry in [era]; [ids], [dataCentres] and [addresses] are parallel lists, and [callerAddresses] as well. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 @SerialName("ma")
@@ -71,4 +71,5 @@
     @CborLabel(3) val dataCentres: List<String>,
     @CborLabel(4) val addresses: List<String>,
     @CborLabel(5) val era: Long = 0,
+    @CborLabel(6) val callerAddresses: List<String> = emptyList(),
 ) : PeerMessage
