Answer the requests that still run at the end of a planned stop

Another operator reported requests that were cut without an answer at the end of the grace period. Here none is taken late: after the notice period of 2.5 s new ones are refused as not run. But what had been taken before and lasted longer than the grace period was cut when the process ended: the caller saw a closed connection.

The runs that remain when the wait ends are now cancelled with a reason of their own. A request that was sent gets 502 (may have run), one that still waits for its turn gets 503 (not run), a stream is broken off. The upstream is not blamed.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -144,11 +144,14 @@
     fun beginStop() = drain.begin()
 
     /**
-     * Waits until the load balancer has noticed, then refuses new requests and waits until none is in flight. Takes at most the
-     * grace period less a margin.
+     * Waits until the load balancer has noticed, then refuses new requests and waits until none is in flight. Requests that would
+     * last longer than the grace period get an answer that says so. Takes at most the grace period less a margin.
      */
     fun awaitStopped() {
-        drain.await()
+        if (drain.await() == 0) return
+        runs.cancelAll()
+        val remaining = inFlight.awaitNone(Clocks::steadyMs, graceMs = ANSWER_MS, limitMs = ANSWER_MS)
+        log.info("stop: {} exchanges have no answer", remaining)
     }
 
     private fun <T> follower(name: String, feed: RecordFeed<T>, pacing: FeedPacing, listener: FeedListener<T>): FeedFollower<T> {
@@ -220,6 +223,9 @@
         const val NOTICE_MS = 2_500L
         const val STOP_MARGIN_MS = 500L
 
+        /** Part of [STOP_MARGIN_MS] in which the requests that have not ended are answered. */
+        const val ANSWER_MS = 250L
+
         /**
          * A reservation that is not extended must expire well before [ForwardSettings.freeMs], after which it counts as leaked.
          */
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -206,6 +206,7 @@
         val hasBegun = turn.begin(service.orEmpty(), forecast, elapsedMs())
         if (!hasBegun) return Outcome.Failed(RunFailures.backlog(forecast.backlogMs.toLong()))
         if (turn.await()) return null
+        if (guard.cancelReason == CancelReason.STOPPING) return Outcome.Failed(RunFailures.stopping())
         return Outcome.Failed(deadlineFailure() ?: RunFailures.callerGone())
     }
 
@@ -309,7 +310,7 @@
 
     private fun penaliseFault(upstream: UpstreamEntry, end: AttemptEnd, faultyAddress: String?) {
         if (end is AttemptEnd.Answered && end.status < SERVER_ERROR) return
-        if (guard.cancelReason == CancelReason.CALLER_GONE) return
+        if (guard.cancelReason == CancelReason.CALLER_GONE || guard.cancelReason == CancelReason.STOPPING) return
         faultyAddress?.let(placer::avoid)
         val known = context.fleetView.upstreams[service].orEmpty()
         val atFault = faultyAddress?.let { address -> known.firstOrNull { it.address == address } } ?: upstream
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunFailures.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunFailures.kt
@@ -61,6 +61,9 @@
         return Failure(ErrorKind.DEADLINE_EXCEEDED, "the deadline of the request has passed", ran)
     }
 
+    /** The process ends while the request waits. */
+    fun stopping() = Failure(ErrorKind.DRAINING, "this instance is shutting down", retryAfterMs = 0)
+
     /** The caller disconnected while the request waited. */
     fun callerGone() = Failure(ErrorKind.CANCELLED, "the caller disconnected", Executed.NO)
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunGuard.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunGuard.kt
@@ -7,7 +7,7 @@
 import java.util.concurrent.TimeUnit
 
 /** Why a send was cancelled. */
-enum class CancelReason { CALLER_GONE, TIMEOUT, SILENCE }
+enum class CancelReason { CALLER_GONE, TIMEOUT, SILENCE, STOPPING }
 
 /** What a [RunGuard] asks before it cancels a silent send. Called from the thread that checks the guards. */
 interface SilencePolicy {
@@ -63,6 +63,9 @@
     /** Cancels the request because its caller has disconnected. */
     fun onCallerDisconnect() = cancel(CancelReason.CALLER_GONE)
 
+    /** Cancels the request because the process is about to end. */
+    fun onStopping() = cancel(CancelReason.STOPPING)
+
     /** Cancels the request if its deadline has passed at [nowMs], or the current send if it has been silent for too long. */
     fun check(nowMs: Long) {
         if (nowMs >= deadlineMs) return cancel(CancelReason.TIMEOUT)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunWatch.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunWatch.kt
@@ -22,6 +22,9 @@
         guards.remove(guard)
     }
 
+    /** Cancels all requests in flight because the process is about to end. */
+    fun cancelAll() = guards.forEach { it.onStopping() }
+
     private fun check() {
         val nowMs = nowMs()
         guards.forEach { it.check(nowMs) }
