Keep quarantines in the store, so that they outlast the end of all instances

An instance whose own observation begins or ends a quarantine now stores what it rests on in a keyed topic, one record a trait, and each instance reads the topic at its start. A row whose last crash is longer ago than a quarantine lasts is removed.

--- a/core/src/main/kotlin/org/godwitwick/core/health/TraitQuarantine.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/health/TraitQuarantine.kt
@@ -9,7 +9,14 @@
  * @property soundAgeMs time since a request with the trait was last answered, or null if none was.
  */
 @Serializable
-data class TraitRow(val trait: RequestTrait, val crashAgesMs: Map<String, Long>, val soundAgeMs: Long? = null)
+data class TraitRow(val trait: RequestTrait, val crashAgesMs: Map<String, Long>, val soundAgeMs: Long? = null) {
+    /** Time since the last crash; [Long.MAX_VALUE] if there is none. */
+    val lastCrashAgeMs: Long get() = crashAgesMs.values.minOrNull() ?: Long.MAX_VALUE
+
+    /** This row [ms] later. */
+    fun agedBy(ms: Long): TraitRow =
+        copy(crashAgesMs = crashAgesMs.mapValues { it.value + ms }, soundAgeMs = soundAgeMs?.plus(ms))
+}
 
 /**
  * Decides which requests are refused because what they have in common crashes upstreams.
--- a/node/src/main/kotlin/org/godwitwick/node/forward/CrashGuard.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/CrashGuard.kt
@@ -9,9 +9,14 @@
 /**
  * Observes which requests upstreams crash with, shares it with the other instances, and states which requests are quarantined.
  *
+ * @param onOwnChange called when an observation of this instance has begun or ended a quarantine.
  * @param send sends rows to the other instances.
  */
-class CrashGuard(private val nowMs: () -> Long, private val send: (List<TraitRow>) -> Unit) {
+class CrashGuard(
+    private val nowMs: () -> Long,
+    private val onOwnChange: () -> Unit,
+    private val send: (List<TraitRow>) -> Unit,
+) {
     private val quarantine = TraitQuarantine()
 
     @Volatile
@@ -31,10 +36,12 @@
 
     /** Records that [upstream] was lost while it had [request] and had not answered it yet. */
     fun onLost(upstream: UpstreamEntry, request: CallerRequest, body: ByteArray) {
+        val before = quarantined
         val rows = synchronized(quarantine) {
             quarantine.onCrash(upstream.processKey, traitsOf(request, body), nowMs()).also { publish("${upstream.id} was lost") }
         }
         send(rows)
+        if (quarantined != before) onOwnChange()
     }
 
     /** Records that an upstream has begun to answer [request] and has survived it. */
@@ -43,10 +50,12 @@
         if (suspects.isEmpty()) return
         val traits = traitsOf(request, body).filter { it in suspects }
         if (traits.isEmpty()) return
+        val before = quarantined
         val rows = synchronized(quarantine) {
             quarantine.onSound(traits, nowMs()).also { publish("request ${request.id} was answered") }
         }
         if (rows.isNotEmpty()) send(rows)
+        if (quarantined != before) onOwnChange()
     }
 
     /** Adds [rows] of another instance. */
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -31,6 +31,7 @@
     configFeed: RecordFeed<RoutingConfig>,
     upstreamFeed: RecordFeed<UpstreamEntry>,
     registry: InstanceRegistry,
+    quarantines: QuarantineStore,
 ) : AutoCloseable {
     private val metrics = NodeMetrics()
     private val control = ControlThread(metrics::controlQueueDelay)
@@ -43,8 +44,9 @@
         "${settings.listenHost}:${settings.listenPort}".takeIf { settings.listenPort > 0 },
     )
     private val caches = listOf(CONFIG_FEED, UPSTREAM_FEED).associateWith { FeedCache(Clocks::read) }
-    private val crashGuard = CrashGuard(Clocks::steadyMs) { rows -> peers.sendQuarantine(rows) }
-    private val peers: ForwardPeers = ForwardPeers(self, registry, loads, peerLoads, caches, crashGuard) { statements.onRow(it) }
+    private val crashGuard = CrashGuard(Clocks::steadyMs, { peers.saveQuarantine() }) { rows -> peers.sendQuarantine(rows) }
+    private val peers: ForwardPeers =
+        ForwardPeers(self, registry, quarantines, loads, peerLoads, caches, crashGuard) { statements.onRow(it) }
     private val statements =
         UpstreamStatements(self.id, { peers.fleet.ids }, Clocks::steadyMs) { row -> peers.sendStatement(row) }
     private val freshness = KeyFreshness(settings.revocationMs)
--- a/node/src/test/kotlin/org/godwitwick/node/forward/QuarantineExchangeTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/QuarantineExchangeTest.kt
@@ -27,7 +27,7 @@
 
         fun join(name: String): CrashGuard {
             val self = InstanceId(name)
-            val guard = CrashGuard({ nowMs }) { rows -> if (exchanges.getValue(self).offer(rows)) due += self }
+            val guard = CrashGuard({ nowMs }, {}) { rows -> if (exchanges.getValue(self).offer(rows)) due += self }
             exchanges[self] = QuarantineExchange(guard::lastingRows, Random(count())) { to, message ->
                 messages++
                 if (self !in unreachable && to !in unreachable) guards.getValue(to).onRows(name, message.rows)
