Let only an instance itself state that a relayed request was not sent

The instance that serves a relayed request kept a header Godwitwick-Relay-Outcome of the upstream's answer. An upstream that sends 'not-sent' there would make the other instance take a charge that has run for one that was never sent, and send it again or tell its caller 'not run'. The headers of the relay are now removed from all answers of upstreams.

CutOffInstanceTest: 'an upstream cannot state that a relayed charge was not sent' failed before (503 for a charge that had run).

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -129,8 +129,7 @@
 
     private fun relayedHeadOf(call: RelayCall, sent: Call, response: Response, gate: WriteGate): SendResult {
         val outcome = response.header(RelayHeaders.OUTCOME_NAME)
-        val head = dialect.decodeHead(response.code, withRetryAfter(response.headers, gate))
-            .let { head -> head.copy(headers = head.headers.filterNot { RelayHeaders.isOwn(it.first) }) }
+        val head = headOf(response, gate)
         val open = SendResult.Open(head, response, sent)
         if (!RelayHeaders.isOutcome(outcome) || head.requestId != call.request.id) {
             open.abort()
@@ -167,7 +166,7 @@
     }
 
     private fun headOf(call: UpstreamCall, sent: Call, response: Response, gate: WriteGate): SendResult {
-        val head = dialect.decodeHead(response.code, withRetryAfter(response.headers, gate))
+        val head = headOf(response, gate)
         val open = SendResult.Open(head, response, sent)
         // An answer that may belong to another request, of this upstream or of an earlier one at its address, states nothing.
         if (head.requestId == call.request.id) onStatement(call.upstream, head.statement)
@@ -182,6 +181,11 @@
         return SendResult.Ended(AttemptEnd.Refused(head.status, head.retryAfterMs), head.faultyAddress)
     }
 
+    // Only an instance itself states how a relayed request has ended.
+    private fun headOf(response: Response, gate: WriteGate): AnswerHead =
+        dialect.decodeHead(response.code, withRetryAfter(response.headers, gate))
+            .let { head -> head.copy(headers = head.headers.filterNot { RelayHeaders.isOwn(it.first) }) }
+
     // The interceptor removes the header of a 503, because OkHttp would act on it.
     private fun withRetryAfter(headers: Headers, gate: WriteGate): Headers =
         gate.retryAfter?.let { headers.newBuilder().set("Retry-After", it).build() } ?: headers
