Read the secret of the instances again until the store has answered in its new era

Found by reading. If the store refused the read of the secret just after its return from an older copy, it was not tried again: a secret that the copy lacked stayed lost. RestoredStoreTest: '... even if the store refuses it at first' failed before ('not reached: the secret is stored again').

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
@@ -47,6 +47,7 @@
     @Volatile
     private var transport: PeerTransport? = null
     private var secret: ByteArray? = null
+    private var isSecretKnown = false
     private var secretEra: Long? = null
     private var hasReadQuarantines = false
 
@@ -87,10 +88,10 @@
             fleet.refresh()
             // A store that has returned from an older copy may have no secret or another one.
             if (secretEra != null && secretEra != fleet.era) {
-                readSecret()
                 isQuarantineUnsaved = true
+                readSecret()
             }
-            secretEra = fleet.era
+            if (isSecretKnown) secretEra = fleet.era
         }
         try {
             registration.schedule(::announceRegularly, fleet.periodMs, TimeUnit.MILLISECONDS)
@@ -114,10 +115,13 @@
         }
     }
 
-    private fun readSecret() =
+    private fun readSecret() {
+        isSecretKnown = false
         registry.sharedSecret(secret).fold(::onSecret) { log.warn("peer: no shared secret: {}", it.message) }
+    }
 
     private fun onSecret(stored: ByteArray) {
+        isSecretKnown = true
         if (transport != null && stored.contentEquals(secret)) return
         if (transport != null) log.warn("peer: the shared secret has changed; connecting to the other instances again")
         transport?.close()
