Do not take the loss of all upstreams of one service for a cut of the instance

Three upstreams that accepted no connection were a cut. If all upstreams of one service are down and kept connections serve the others, all instances would have taken themselves for cut off, refused each other's requests, and answered 503 for the sound services as well.

Three failures are a suspicion now. It is confirmed by a connection to one more upstream of each service; one that accepts ends it. A request that only two failed connections have led to another instance goes there once, and that instance gives up after two failed connections as well.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -53,7 +53,7 @@
     private val fleetView = FleetView(control, loads, statements, Clocks::steadyMs)
     private val relay: Relay = Relay(
         peers.fleet::others,
-        { fleetView.upstreams.values.flatten().map { it.address } },
+        { fleetView.upstreams.mapValues { (_, entries) -> entries.map { it.address } } },
         CONNECT_TIMEOUT_MS,
         Clocks::steadyMs,
         Random.Default,
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -89,7 +89,7 @@
     private fun nextAttempt(lastEventId: Long?): Outcome? {
         val admitted = admit().getOrElse { return Outcome.Failed(it) }
         context.crashGuard.quarantinedTraitOf(request, body)?.let { return Outcome.Failed(RunFailures.quarantined(it)) }
-        if (request.hop != null && context.relay.isCutOff) return Outcome.Failed(RunFailures.cutOff())
+        if (request.hop != null && reachesNone()) return Outcome.Failed(RunFailures.cutOff())
         nextPeer()?.let { return attemptThrough(it, admitted.route, lastEventId) }
         val serviceName = service ?: admitted.route.serviceFor(context.random.nextDouble()).also { onServiceChosen(it) }
         return attempt(admitted, serviceName, lastEventId)
@@ -108,11 +108,14 @@
 
     // Returns the instance through which the request goes next, or null if this instance sends it itself.
     private fun nextPeer(): RegisteredInstance? {
-        if (request.hop != null) return null
-        val reachesNone = context.relay.isCutOff || failedConnections >= MIN_FAILED_BEFORE_RELAY
-        return if (reachesNone) context.relay.choose(relayedTo) else null
+        if (request.hop != null || !reachesNone()) return null
+        // If only the upstreams that were tried are down, the other instances don't reach them either.
+        if (!context.relay.isCutOff && relayedTo.isNotEmpty()) return null
+        return context.relay.choose(relayedTo)
     }
 
+    private fun reachesNone(): Boolean = context.relay.isCutOff || failedConnections >= MIN_FAILED_BEFORE_RELAY
+
     // Returns null if the request is to be placed again, or sent through another instance.
     private fun attemptThrough(peer: RegisteredInstance, route: ForwardRoute, lastEventId: Long?): Outcome? {
         turn.end(elapsedMs())
--- a/node/src/main/kotlin/org/godwitwick/node/forward/Relay.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/Relay.kt
@@ -8,21 +8,23 @@
 import java.net.InetSocketAddress
 import java.net.Socket
 import java.util.concurrent.Executors
+import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 
 /**
  * Sends requests through other instances while this one is cut off from all upstreams.
  *
- * While it is cut off, it tries regularly to connect to an upstream, and sends requests itself again once one accepts.
+ * Before it takes itself for cut off, it tries upstreams of other services. While it is cut off, it tries regularly to connect to an
+ * upstream, and sends requests itself again once one accepts.
  *
  * @param others returns the other instances by id.
- * @param upstreams returns the addresses of the registered upstreams.
+ * @param upstreams returns the addresses of the registered upstreams, by service.
  * @param onCutOff called when this instance finds that it is cut off.
  */
 class Relay(
     private val others: () -> Map<InstanceId, RegisteredInstance>,
-    private val upstreams: () -> List<String>,
+    private val upstreams: () -> Map<String, List<String>>,
     private val connectTimeoutMs: Long,
     private val nowMs: () -> Long,
     private val random: Random,
@@ -32,6 +34,7 @@
     private val reach = UpstreamReach()
     private val peers = RelayPeers(random)
     private var cutOffSinceMs = 0L
+    private var isVerifying = false
     private val probes = Executors.newSingleThreadScheduledExecutor { Thread(it, "reach").apply { isDaemon = true } }
 
     /** Whether this instance is cut off from all upstreams. */
@@ -48,7 +51,27 @@
         if (isCutOff) update { reach.onConnected() } else synchronized(this) { reach.onConnected() }
     }
 
-    override fun onConnectFailed(address: String) = update { reach.onConnectFailed(address, nowMs()) }
+    override fun onConnectFailed(address: String) {
+        val mustVerify = synchronized(this) {
+            reach.onConnectFailed(address, nowMs())
+            (reach.isSuspected && !reach.isCutOff && !isVerifying).also { if (it) isVerifying = true }
+        }
+        if (mustVerify) execute(::verify)
+    }
+
+    private fun execute(task: () -> Unit) = try {
+        probes.execute(task)
+    } catch (_: RejectedExecutionException) {
+        log.debug("reach: not verified because the executor was shut down")
+    }
+
+    // Tries an upstream of each service, so that the loss of all of one service does not count as a cut.
+    private fun verify() {
+        val candidates = synchronized(this) { upstreams().values.mapNotNull { reach.doubtful(it).randomOrNull(random) } }
+        val accepts = candidates.any(::acceptsConnection)
+        synchronized(this) { isVerifying = false }
+        update { if (accepts) reach.onConnected() else reach.onSuspicionConfirmed() }
+    }
 
     private fun update(change: () -> Unit) {
         val now = nowMs()
@@ -80,15 +103,18 @@
 
     private fun probe() {
         if (!isCutOff) return
-        val address = upstreams().randomOrNull(random) ?: return
-        try {
-            val host = address.substringBeforeLast(':')
-            val port = address.substringAfterLast(':').toInt()
-            Socket().use { it.connect(InetSocketAddress(host, port), connectTimeoutMs.toInt()) }
-            onConnected()
-        } catch (e: IOException) {
-            log.debug("reach: {} does not accept a connection: {}", address, e.message)
-        }
+        val address = upstreams().values.flatten().randomOrNull(random) ?: return
+        if (acceptsConnection(address)) onConnected()
+    }
+
+    private fun acceptsConnection(address: String): Boolean = try {
+        val host = address.substringBeforeLast(':')
+        val port = address.substringAfterLast(':').toInt()
+        Socket().use { it.connect(InetSocketAddress(host, port), connectTimeoutMs.toInt()) }
+        true
+    } catch (e: IOException) {
+        log.debug("reach: {} does not accept a connection: {}", address, e.message)
+        false
     }
 
     override fun close() {
