--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -128,7 +128,7 @@
     }
 
     private fun relayedHeadOf(call: RelayCall, sent: Call, response: Response, gate: WriteGate): SendResult {
-        val outcome = response.header(RelayHeaders.OUTCOME_NAME)
+        val outcome = response.header(RelayHeaders.OUTCOME)
         val head = headOf(response, gate)
         val open = SendResult.Open(head, response, sent)
         if (!RelayHeaders.isOutcome(outcome) || head.requestId != call.request.id) {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -126,6 +126,7 @@
         val result = context.client.relay(call, body, needsNewConnection = !route.kind.isIdempotent, guard) { sent ->
             guard.attach(sent, null, retries.silencePolicyOf(emptyList()), Clocks.steadyMs())
         }
+        // Stands for the instance where an answer or a log line names its upstream.
         val sender =
             UpstreamEntry(peer.id, "", peer.callerAddress.orEmpty(), peer.dataCentre, 0, isLeaving = false, startedAtMs = null)
         val outcome = when (result) {
@@ -278,6 +279,7 @@
     ): Outcome? {
         counts += end
         lastEnd = end
+        // Another instance judges the upstreams that it has used by itself.
         upstream?.takeIf { it.id !in relayedTo }?.let {
             penaliseFault(it, end, faultyAddress)
             crashes.onEnd(it, end)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/Relay.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/Relay.kt
@@ -73,6 +73,7 @@
         update { if (accepts) reach.onConnected() else reach.onSuspicionConfirmed() }
     }
 
+    // Runs [change] and reports the begin or the end of a cut.
     private fun update(change: () -> Unit) {
         val now = nowMs()
         val hasBegun = synchronized(this) {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RelayHeaders.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RelayHeaders.kt
@@ -16,8 +16,9 @@
  * only: it is not relayed again, and is not run more often than its route allows.
  */
 internal object RelayHeaders {
+    /** Header of answers to relayed requests. */
+    const val OUTCOME = "Godwitwick-Relay-Outcome"
     private const val HOP = "Godwitwick-Relay"
-    private const val OUTCOME = "Godwitwick-Relay-Outcome"
     private const val COUNTED = "counted"
     private const val NOT_SENT = "not-sent"
     private const val SERVED = "served"
@@ -46,7 +47,4 @@
 
     /** Whether an answer with [outcome], the value of its header, states that the request was sent to no upstream. */
     fun isNotSent(outcome: String?): Boolean = outcome == NOT_SENT
-
-    /** Name of the header of answers. */
-    const val OUTCOME_NAME = OUTCOME
 }
