Count all runs that were left to another instance as used

Cause: the instance that serves a relayed request may send it to all upstreams that the route still allows, but the one that relayed it counted that as one run and sent it once more after a failure. It can't know how many runs there were, since a stream may break after its head; so all that it has left to the other count as used. Such a stream is not continued by the first instance any more, as the second does that.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -126,6 +126,9 @@
         val result = context.client.relay(call, body, needsNewConnection = !route.kind.isIdempotent, guard) { sent ->
             guard.attach(sent, null, retries.silencePolicyOf(emptyList()), Clocks.steadyMs())
         }
+        val end = if (result is SendResult.Ended) result.end else null
+        // The other instance may have used all runs. The last one is counted with the end of the send.
+        if (end == null || end is AttemptEnd.Broken) counts = counts.copy(mayHaveRun = counts.mayHaveRun + hop.maxRuns - 1)
         // Stands for the instance where an answer or a log line names its upstream.
         val sender =
             UpstreamEntry(peer.id, "", peer.callerAddress.orEmpty(), peer.dataCentre, 0, isLeaving = false, startedAtMs = null)
@@ -135,7 +138,6 @@
         }
         if (outcome is Outcome.Stream) return outcome.also { context.metrics.recordRelay("stream") }
         if (outcome !is Outcome.Single || outcome.largeBody == null) guard.detach()
-        val end = if (result is SendResult.Ended) result.end else null
         if (end is AttemptEnd.NotSent) context.relay.onRefused(peer.id)
         context.metrics.recordRelay(if (end == null) "answered" else end.javaClass.simpleName)
         return if (end != null) decideNext(route, null, end, null) else onAnswerRead(route, null, outcome as Outcome.Single?)
@@ -236,9 +238,7 @@
             // Without an event and without the end of its chunks, the answer is no stream, or was cut off before its first event.
             if (first == null && !open.isChunked) throw MalformedAnswerException("the stream has no event and no end")
             progress?.onPrefillDone()
-            // The instance that serves a relayed request notices the silence of its upstream first.
-            val marginMs = if (progress == null) RELAY_SILENCE_MARGIN_MS else 0
-            eventGapTimeoutMs = context.streamTimeouts.eventGapTimeoutMs(route, counts.mayHaveRun)?.plus(marginMs)
+            eventGapTimeoutMs = context.streamTimeouts.eventGapTimeoutMs(route, counts.mayHaveRun)
             guard.restartSilenceTimer(eventGapTimeoutMs, Clocks.steadyMs())
             Outcome.Stream(UpstreamStream(open.head, upstream, first, open, reader, endAttempt))
         } else if (source.request(MAX_BUFFERED_BYTES + 1)) {
@@ -411,9 +411,6 @@
         /** One upstream that does not accept a connection has mostly crashed; a second one is a reason to try another way. */
         const val MIN_FAILED_BEFORE_RELAY = 2
 
-        /** Time within which the other instance continues a stream at another upstream. */
-        const val RELAY_SILENCE_MARGIN_MS = 300L
-
         /** Bounds the length of a log line. */
         const val MAX_LOGGED_PARTS = 8
         val log = LoggerFactory.getLogger(ForwardRun::class.java)
