Do not state that a relayed request was not sent after a failure of the instance itself

An unexpected exception in the instance that serves a relayed request is answered with 500, and the answer said that the request was sent to no upstream, though it may have been. The other instance would then send it again: a charge could run twice. Whether a refusal says 'not sent' now follows from what the failure says of the run, and an internal failure says that it is unknown.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
@@ -38,7 +38,7 @@
 
     private fun answer(decoded: CallerRequest, request: Request, caller: CallerWatch): Response =
         forwardDecoded(decoded, request, caller).getOrElse { failure ->
-            refuse(failure, decoded.id).let { if (decoded.hop != null) RelayHeaders.withOutcome(it, wasSent = false) else it }
+            refuse(failure, decoded.id).let { if (decoded.hop != null) RelayHeaders.withOutcome(it, failure) else it }
         }
 
     private fun forwardDecoded(decoded: CallerRequest, request: Request, caller: CallerWatch): Result<Response, Failure> {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RelayHeaders.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RelayHeaders.kt
@@ -1,5 +1,7 @@
 package org.godwitwick.node.forward
 
+import org.godwitwick.core.error.Executed
+import org.godwitwick.core.error.Failure
 import org.http4k.core.Request
 import org.http4k.core.Response
 
@@ -33,6 +35,9 @@
         RelayHop(value.substringBefore(SEPARATOR).toIntOrNull() ?: 1, value.endsWith(COUNTED))
     }
 
+    /** Adds to [response], which reports [failure] of a relayed request, whether the request was sent to an upstream. */
+    fun withOutcome(response: Response, failure: Failure): Response = withOutcome(response, failure.ran != Executed.NO)
+
     /** Adds to the answer of a relayed request whether it was sent to an upstream; the first call decides. */
     fun withOutcome(response: Response, wasSent: Boolean): Response = when {
         response.header(OUTCOME) != null -> response
