Do not give up another instance because of a request that it refuses for its upstreams' sake

A relayed request that the other instance refused, since the upstreams were full or limited or a part of the prompt is quarantined, counted as a sign that the instance could not serve at all: it was asked nothing for a second, the request went round among the others, and sound requests for other services got 503 from the cut-off instance.

The answer now states one of three outcomes (RelayOutcome): served, refused for the request's sake, which is delivered as it is, or unable for the instance's own sake, by which only that instance is avoided and the request goes elsewhere.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -35,6 +35,9 @@
     class Ended(val end: AttemptEnd, val faultyAddress: String? = null) : SendResult
 }
 
+/** Result of a send to another instance; [outcome] is what that states of the request, or null if it states nothing. */
+internal class RelayResult(val send: SendResult, val outcome: RelayOutcome?)
+
 /**
  * Sends requests to upstreams over HTTP/1.1. It never retries a send.
  *
@@ -107,13 +110,13 @@
     fun closeIdle() = pooled.connectionPool.evictAll()
 
     /** Sends [call] with [body] to another instance; the other parameters are those of [send]. */
-    fun relay(
+    internal fun relay(
         call: RelayCall,
         body: ByteArray,
         needsNewConnection: Boolean,
         guard: RunGuard,
         onStart: (Call) -> Unit,
-    ): SendResult {
+    ): RelayResult {
         val gate = WriteGate()
         val headers = dialect.encodeRelayed(call) + RelayHeaders.encode(call.hop)
         val url = "http://${call.peer.callerAddress}${call.request.target}"
@@ -123,29 +126,27 @@
         return try {
             relayedHeadOf(call, sent, sent.execute(), gate)
         } catch (e: IOException) {
-            SendResult.Ended(endOf(e, gate, guard))
+            RelayResult(SendResult.Ended(endOf(e, gate, guard)), null)
         }
     }
 
-    private fun relayedHeadOf(call: RelayCall, sent: Call, response: Response, gate: WriteGate): SendResult {
-        val outcome = response.header(RelayHeaders.OUTCOME)
+    private fun relayedHeadOf(call: RelayCall, sent: Call, response: Response, gate: WriteGate): RelayResult {
+        val outcome = RelayOutcome.ofText(response.header(RelayHeaders.OUTCOME))
         val head = headOf(response, gate)
         val open = SendResult.Open(head, response, sent)
-        if (!RelayHeaders.isOutcome(outcome) || head.requestId != call.request.id) {
-            open.abort()
-            open.close()
-            return SendResult.Ended(AttemptEnd.Broken("the instance's answer is not for this request"))
+        val end = when {
+            outcome == null || head.requestId != call.request.id ->
+                AttemptEnd.Broken("the instance's answer is not for this request").also { open.abort() }
+
+            outcome == RelayOutcome.UNABLE -> AttemptEnd.NotSent("the instance refused with ${head.status}")
+
+            outcome == RelayOutcome.SERVED && head.status in NOT_EXECUTED_STATUSES ->
+                AttemptEnd.Refused(head.status, head.retryAfterMs)
+
+            else -> return RelayResult(open, outcome)
         }
-        // The other instance may have an older configuration, or no way to an upstream either.
-        val isNotSent = RelayHeaders.isNotSent(outcome)
-        if (!isNotSent && head.status !in NOT_EXECUTED_STATUSES) return open
         open.close()
-        val end = if (isNotSent) {
-            AttemptEnd.NotSent("the instance refused with ${head.status}")
-        } else {
-            AttemptEnd.Refused(head.status, head.retryAfterMs)
-        }
-        return SendResult.Ended(end)
+        return RelayResult(SendResult.Ended(end), outcome)
     }
 
     /**
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
@@ -33,14 +33,19 @@
         val decoded = context.dialect.decode(request).getOrElse { return refuse(it, "") }
         val hop = RelayHeaders.hopOf(request) ?: return answer(decoded, request, caller)
         val relayed = decoded.copy(headers = decoded.headers.filterNot { RelayHeaders.isOwn(it.first) }, hop = hop)
-        return RelayHeaders.withOutcome(answer(relayed, request, caller), wasSent = true)
+        return RelayHeaders.withOutcome(answer(relayed, request, caller), RelayOutcome.SERVED)
     }
 
     private fun answer(decoded: CallerRequest, request: Request, caller: CallerWatch): Response =
         forwardDecoded(decoded, request, caller).getOrElse { failure ->
-            refuse(failure, decoded.id).let { if (decoded.hop != null) RelayHeaders.withOutcome(it, failure) else it }
+            val response = refuse(failure, decoded.id)
+            if (decoded.hop == null) response else RelayHeaders.withOutcome(response, outcomeOf(failure))
         }
 
+    // Before a request is placed, only this instance can be overloaded.
+    private fun outcomeOf(failure: Failure): RelayOutcome =
+        if (failure.kind == ErrorKind.OVERLOADED) RelayOutcome.UNABLE else RelayOutcome.of(failure, wasSent = false)
+
     private fun forwardDecoded(decoded: CallerRequest, request: Request, caller: CallerWatch): Result<Response, Failure> {
         refusal()?.let { return Err(it.copy(retryAfterMs = 0)) }
         if (runWatch.count >= maxInFlight) return Err(Failure(ErrorKind.OVERLOADED, "too many requests are in flight"))
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -123,12 +123,18 @@
         log.info("forward: {} goes through {}", request.id, peer.id)
         val hop = RelayHop(route.maxRuns - counts.mayHaveRun, isCounted = service != null)
         val call = RelayCall(request, peer, remainingMs(), lastEventId, hop)
-        val result = context.client.relay(call, body, needsNewConnection = !route.kind.isIdempotent, guard) { sent ->
+        val relayed = context.client.relay(call, body, needsNewConnection = !route.kind.isIdempotent, guard) { sent ->
             guard.attach(sent, null, retries.silencePolicyOf(emptyList()), Clocks.steadyMs())
         }
+        val result = relayed.send
         val end = if (result is SendResult.Ended) result.end else null
+        val isRefused = relayed.outcome == RelayOutcome.REFUSED
         // The other instance may have used all runs. The last one is counted with the end of the send.
-        if (end == null || end is AttemptEnd.Broken) counts = counts.copy(mayHaveRun = counts.mayHaveRun + hop.maxRuns - 1)
+        if (!isRefused &&
+            (end == null || end is AttemptEnd.Broken)
+        ) {
+            counts = counts.copy(mayHaveRun = counts.mayHaveRun + hop.maxRuns - 1)
+        }
         // Stands for the instance where an answer or a log line names its upstream.
         val sender =
             UpstreamEntry(peer.id, "", peer.callerAddress.orEmpty(), peer.dataCentre, 0, isLeaving = false, startedAtMs = null)
@@ -138,11 +144,18 @@
         }
         if (outcome is Outcome.Stream) return outcome.also { context.metrics.recordRelay("stream") }
         if (outcome !is Outcome.Single || outcome.largeBody == null) guard.detach()
+        if (outcome is Outcome.Single && isRefused) return refusedOutcome(outcome)
         if (end is AttemptEnd.NotSent) context.relay.onRefused(peer.id)
         context.metrics.recordRelay(if (end == null) "answered" else end.javaClass.simpleName)
         return if (end != null) decideNext(route, null, end, null) else onAnswerRead(route, null, outcome as Outcome.Single?)
     }
 
+    // The refusal of another instance says "not run", which holds for its own part only.
+    private fun refusedOutcome(refusal: Outcome.Single): Outcome {
+        if (counts.mayHaveRun == 0) return refusal
+        return Outcome.Failed(failureOf(AttemptEnd.Refused(refusal.head.status, refusal.head.retryAfterMs), counts))
+    }
+
     // Returns null if the request is to be placed again, at another upstream or later.
     private fun attempt(admitted: AdmittedTarget, serviceName: String, lastEventId: Long?): Outcome? {
         val spec = context.fleetView.routing.table?.serviceOf(serviceName)
@@ -370,7 +383,8 @@
         val final = adjustedForSends(failure, counts)
         recordEnd(null, "failed with ${final.kind.code}: ${final.message}")
         val response = context.dialect.failureResponse(final, request.id)
-        return if (request.hop == null) response else RelayHeaders.withOutcome(response, counts.mayHaveRun + counts.refused > 0)
+        val wasSent = counts.mayHaveRun + counts.refused > 0
+        return if (request.hop == null) response else RelayHeaders.withOutcome(response, RelayOutcome.of(final, wasSent))
     }
 
     private fun deadlineFailure(): Failure? {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RelayHeaders.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RelayHeaders.kt
@@ -1,7 +1,5 @@
 package org.godwitwick.node.forward
 
-import org.godwitwick.core.error.Executed
-import org.godwitwick.core.error.Failure
 import org.http4k.core.Request
 import org.http4k.core.Response
 
@@ -22,8 +20,6 @@
     const val OUTCOME = "Godwitwick-Relay-Outcome"
     private const val HOP = "Godwitwick-Relay"
     private const val COUNTED = "counted"
-    private const val NOT_SENT = "not-sent"
-    private const val SERVED = "served"
     private const val SEPARATOR = ';'
 
     /** Header of a relayed request. */
@@ -35,21 +31,10 @@
         RelayHop(value.substringBefore(SEPARATOR).toIntOrNull() ?: 1, value.endsWith(COUNTED))
     }
 
-    /** Adds to [response], which reports [failure] of a relayed request, whether the request was sent to an upstream. */
-    fun withOutcome(response: Response, failure: Failure): Response = withOutcome(response, failure.ran != Executed.NO)
-
-    /** Adds to the answer of a relayed request whether it was sent to an upstream; the first call decides. */
-    fun withOutcome(response: Response, wasSent: Boolean): Response = when {
-        response.header(OUTCOME) != null -> response
-        else -> response.header(OUTCOME, if (wasSent) SERVED else NOT_SENT)
-    }
+    /** Adds [outcome] to the answer of a relayed request; the first call decides. */
+    fun withOutcome(response: Response, outcome: RelayOutcome): Response =
+        if (response.header(OUTCOME) != null) response else response.header(OUTCOME, outcome.text)
 
     /** Whether [name] is a header of this protocol. */
     fun isOwn(name: String): Boolean = name.equals(HOP, ignoreCase = true) || name.equals(OUTCOME, ignoreCase = true)
-
-    /** Whether an answer with [outcome], the value of its header, is that of an instance to a relayed request. */
-    fun isOutcome(outcome: String?): Boolean = outcome == SERVED || outcome == NOT_SENT
-
-    /** Whether an answer with [outcome], the value of its header, states that the request was sent to no upstream. */
-    fun isNotSent(outcome: String?): Boolean = outcome == NOT_SENT
 }
