Do not repeat a relayed request that the other instance's upstreams have refused

The instance that relays a request has chosen no service for it, so a repeat after a refusal was taken from the retry budget of the service called '': each such request drew on the reserve of two instances, and went round three of them. The other instance has repeated it already, as often as its budget allows, so the refusal is delivered.

CutOffInstanceTest: 'a relayed request that upstreams refuse is not repeated ...' failed before (4 arrivals of one request, 3 allowed). A second test there shows that the upstream's connection closes when the caller of a relayed request leaves and that the deadline is passed on; it passed before as well.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -144,9 +144,14 @@
         }
         if (outcome is Outcome.Stream) return outcome.also { context.metrics.recordRelay("stream") }
         if (outcome !is Outcome.Single || outcome.largeBody == null) guard.detach()
+        context.metrics.recordRelay(if (end == null) "answered" else end.javaClass.simpleName)
         if (outcome is Outcome.Single && isRefused) return refusedOutcome(outcome)
+        // The other instance has repeated it as often as the retry budget allows.
+        if (end is AttemptEnd.Refused) {
+            counts += end
+            return Outcome.Failed(failureOf(end, counts))
+        }
         if (end is AttemptEnd.NotSent) context.relay.onRefused(peer.id)
-        context.metrics.recordRelay(if (end == null) "answered" else end.javaClass.simpleName)
         return if (end != null) decideNext(route, null, end, null) else onAnswerRead(route, null, outcome as Outcome.Single?)
     }
 
