Bound the requests that an instance takes from other instances

If most of a fleet is cut off, the instances that still reach the upstreams could be filled with relayed requests and refuse their own callers. Relayed requests take half of the places at most; a further one is refused as not sent, by which its instance turns to another.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
@@ -48,7 +48,9 @@
 
     private fun forwardDecoded(decoded: CallerRequest, request: Request, caller: CallerWatch): Result<Response, Failure> {
         refusal()?.let { return Err(it.copy(retryAfterMs = 0)) }
-        if (runWatch.count >= maxInFlight) return Err(Failure(ErrorKind.OVERLOADED, "too many requests are in flight"))
+        val isFull =
+            runWatch.count >= maxInFlight || (decoded.hop != null && runWatch.relayedCount >= maxInFlight / MAX_RELAYED_DIVISOR)
+        if (isFull) return Err(Failure(ErrorKind.OVERLOADED, "too many requests are in flight"))
         context.client.requestFaultOf(decoded)?.let { return Err(Failure(ErrorKind.BAD_REQUEST, it)) }
         val target = ForwardTarget(decoded.host, decoded.path, decoded.key)
         val admitted = context.admission.admit(target, context.fleetView.routing, Clocks.read()).getOrElse { return Err(it) }
@@ -59,7 +61,7 @@
         val guard = RunGuard(arrivedMs + timeoutMs)
         onDeadline(Deadline(guard.deadlineMs))
         caller.onDisconnect(guard::onCallerDisconnect)
-        runWatch.add(guard)
+        runWatch.add(guard, isRelayed = decoded.hop != null)
         return try {
             Ok(ForwardRun(context, decoded, body, arrivedMs, guard) { runWatch.remove(guard) }.answer())
         } catch (e: RuntimeException) {
@@ -81,6 +83,9 @@
 
     private companion object {
         const val DEFAULT_MAX_BODY_BYTES = 4 shl 20
+
+        /** Leaves half of the requests in flight to the callers of this instance. */
+        const val MAX_RELAYED_DIVISOR = 2
         val log = LoggerFactory.getLogger(ForwardHandler::class.java)
     }
 }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunWatch.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunWatch.kt
@@ -6,13 +6,18 @@
 /** Periodically checks the guards of all requests in flight, on one thread. */
 class RunWatch(private val nowMs: () -> Long) : AutoCloseable {
     private val guards = ConcurrentHashMap.newKeySet<RunGuard>()
+    private val relayed = ConcurrentHashMap.newKeySet<RunGuard>()
     private val timer = OnDemandTimer("run-watch", PERIOD_MS, guards::isNotEmpty, ::check)
 
     /** Number of requests in flight. */
     val count: Int get() = guards.size
 
-    /** Starts to check [guard], until [remove]. */
-    fun add(guard: RunGuard) {
+    /** Number of requests in flight that came through another instance. */
+    val relayedCount: Int get() = relayed.size
+
+    /** Starts to check [guard], until [remove]; [isRelayed] tells whether its request came through another instance. */
+    fun add(guard: RunGuard, isRelayed: Boolean) {
+        if (isRelayed) relayed.add(guard)
         guards.add(guard)
         timer.wake()
     }
@@ -20,6 +25,7 @@
     /** Stops checking [guard]. */
     fun remove(guard: RunGuard) {
         guards.remove(guard)
+        relayed.remove(guard)
     }
 
     /** Cancels all requests in flight because the process is about to end. */
