Read and store quarantines on a thread of their own

The quarantines were read and stored on the thread that renews the registration of the instance. With a slow store and several rows that took longer than a registration lasts: the instance would have lapsed for the others. After a return of the store from an older copy each instance wrote all rows; now those that read the store do, which are few in a large fleet.

QuarantineKeeperTest: what the store refuses at first is read and stored later. The lapse itself was not run.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -44,9 +44,11 @@
         "${settings.listenHost}:${settings.listenPort}".takeIf { settings.listenPort > 0 },
     )
     private val caches = listOf(CONFIG_FEED, UPSTREAM_FEED).associateWith { FeedCache(Clocks::read) }
-    private val crashGuard = CrashGuard(Clocks::steadyMs, { peers.saveQuarantine() }) { rows -> peers.sendQuarantine(rows) }
+    private val crashGuard = CrashGuard(Clocks::steadyMs, { quarantineKeeper.save() }) { rows -> peers.sendQuarantine(rows) }
     private val peers: ForwardPeers =
-        ForwardPeers(self, registry, quarantines, loads, peerLoads, caches, crashGuard) { statements.onRow(it) }
+        ForwardPeers(self, registry, loads, peerLoads, caches, crashGuard, { statements.onRow(it) }, { quarantineKeeper.save() })
+    private val quarantineKeeper: QuarantineKeeper =
+        QuarantineKeeper(quarantines, crashGuard::lastingRows, { crashGuard.onRows("the store", it) })
     private val statements =
         UpstreamStatements(self.id, { peers.fleet.ids }, Clocks::steadyMs) { row -> peers.sendStatement(row) }
     private val freshness = KeyFreshness(settings.revocationMs)
@@ -135,6 +137,7 @@
     fun start() {
         configFollower.start()
         upstreamFollower.start()
+        quarantineKeeper.start()
         peers.start()
         relay.start()
         operations.start()
@@ -181,6 +184,7 @@
         configFollower.close()
         upstreamFollower.close()
         peers.close()
+        quarantineKeeper.close()
         relay.close()
         server.stop()
         operations.stop()
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
@@ -2,7 +2,6 @@
 
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.get
-import com.github.michaelbull.result.onErr
 import org.godwitwick.core.health.TraitRow
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.peer.FeedAnswer
@@ -30,16 +29,18 @@
  *
  * @param caches cache of each feed, by the feed's name.
  * @param onStatement called with what an upstream stated about itself to another instance.
+ * @param onStoreRestored called when the store has returned from an older copy and this instance is to write again what the fleet
+ *   keeps there.
  */
 class ForwardPeers(
     private val self: RegisteredInstance,
     private val registry: InstanceRegistry,
-    private val quarantines: QuarantineStore,
     loads: UpstreamLoads,
     private val peerLoads: PeerLoads,
     private val caches: Map<String, FeedCache>,
     private val crashGuard: CrashGuard,
     private val onStatement: (StatementRow) -> Unit,
+    private val onStoreRestored: () -> Unit,
 ) : AutoCloseable {
     private val registration = Executors.newSingleThreadScheduledExecutor { Thread(it, "registration").apply { isDaemon = true } }
     private val exchange = Executors.newSingleThreadScheduledExecutor { Thread(it, "load-exchange").apply { isDaemon = true } }
@@ -49,10 +50,6 @@
     private var secret: ByteArray? = null
     private var isSecretKnown = false
     private var secretEra: Long? = null
-    private var hasReadQuarantines = false
-
-    @Volatile
-    private var isQuarantineUnsaved = false
     private val loadExchange = LoadExchange(self, loads, peerLoads) { to, message -> transport?.send(to, message) }
     private val quarantineExchange =
         QuarantineExchange(crashGuard::lastingRows, Random.Default) { to, message -> transport?.send(to, message) }
@@ -65,7 +62,6 @@
 
     /** Starts to register this instance regularly and to exchange loads. */
     fun start() {
-        registration.execute { guarded(::readQuarantines) }
         registration.schedule(::announceRegularly, FIRST_ANNOUNCE_DELAY_MS, TimeUnit.MILLISECONDS)
         exchange.scheduleAtFixedRate(::exchangeLoads, EXCHANGE_PERIOD_MS, EXCHANGE_PERIOD_MS, TimeUnit.MILLISECONDS)
         exchange.scheduleAtFixedRate(
@@ -82,13 +78,11 @@
 
     private fun announceRegularly() {
         guarded {
-            if (!hasReadQuarantines) readQuarantines()
-            if (isQuarantineUnsaved) writeQuarantines()
             if (transport == null) readSecret()
             fleet.refresh()
             // A store that has returned from an older copy may have no secret or another one.
             if (secretEra != null && secretEra != fleet.era) {
-                isQuarantineUnsaved = true
+                if (fleet.plan.isReader(self.id)) onStoreRestored()
                 readSecret()
             }
             if (isSecretKnown) secretEra = fleet.era
@@ -100,21 +94,6 @@
         }
     }
 
-    private fun readQuarantines() {
-        quarantines.read(System.currentTimeMillis()).fold({ rows ->
-            hasReadQuarantines = true
-            if (rows.isNotEmpty()) crashGuard.onRows("the store", rows)
-        }) { log.warn("quarantine: the stored quarantines could not be read: {}", it.message) }
-    }
-
-    private fun writeQuarantines() {
-        isQuarantineUnsaved = false
-        quarantines.write(crashGuard.lastingRows(), System.currentTimeMillis()).onErr {
-            isQuarantineUnsaved = true
-            log.warn("quarantine: the quarantines could not be stored: {}", it.message)
-        }
-    }
-
     private fun readSecret() {
         isSecretKnown = false
         registry.sharedSecret(secret).fold(::onSecret) { log.warn("peer: no shared secret: {}", it.message) }
@@ -176,16 +155,6 @@
         if (quarantineExchange.offer(rows)) executeSoon(QUARANTINE_DELAY_MS) { quarantineExchange.flush(fleet.others.keys) }
     }
 
-    /** Stores the quarantines of this instance, so that they outlast a restart of all instances. Does not wait. */
-    fun saveQuarantine() {
-        isQuarantineUnsaved = true
-        try {
-            registration.execute { guarded { if (isQuarantineUnsaved) writeQuarantines() } }
-        } catch (_: RejectedExecutionException) {
-            log.debug("quarantine: not stored because the executor of the registration was shut down")
-        }
-    }
-
     /** Sends what an upstream stated to all other instances. Does not wait. */
     fun sendStatement(row: StatementRow) = executeSoon { fleet.others.keys.forEach { transport?.send(it, row) } }
 
