--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -19,7 +19,6 @@
 import org.godwitwick.core.forward.failureOf
 import org.godwitwick.core.forward.nextStep
 import org.godwitwick.core.forward.urgencyOf
-import org.godwitwick.core.model.InstanceId
 import org.http4k.core.Body
 import org.http4k.core.Response
 import org.http4k.core.Status
@@ -45,8 +44,7 @@
     private val placer = RequestPlacer(context, request)
     private val turn = PrefillTurn(context, request.id, guard)
     private val crashes = CrashObserver(context.crashGuard, request, body)
-    private val relayedTo = HashSet<InstanceId>()
-    private var failedConnections = 0
+    private val relay = RequestRelay(context.relay, request)
     private var counts = SendCounts()
     private var lastEnd: AttemptEnd? = null
     private var firstByteMs: Long? = null
@@ -89,8 +87,8 @@
     private fun nextAttempt(lastEventId: Long?): Outcome? {
         val admitted = admit().getOrElse { return Outcome.Failed(it) }
         context.crashGuard.quarantinedTraitOf(request, body)?.let { return Outcome.Failed(RunFailures.quarantined(it)) }
-        if (request.hop != null && reachesNone()) return Outcome.Failed(RunFailures.cutOff())
-        nextPeer()?.let { return attemptThrough(it, admitted.route, lastEventId) }
+        if (relay.mustRefuse) return Outcome.Failed(RunFailures.cutOff())
+        relay.nextPeer()?.let { return attemptThrough(it, admitted.route, lastEventId) }
         val serviceName = service ?: admitted.route.serviceFor(context.random.nextDouble()).also { onServiceChosen(it) }
         return attempt(admitted, serviceName, lastEventId)
     }
@@ -106,21 +104,9 @@
         Clocks.read(),
     ).map { if (request.hop == null) it else it.copy(route = it.route.limitedTo(request.hop.maxRuns)) }
 
-    // Returns the instance through which the request goes next, or null if this instance sends it itself.
-    private fun nextPeer(): RegisteredInstance? {
-        if (request.hop != null || !reachesNone()) return null
-        // If only the upstreams that were tried are down, the other instances don't reach them either.
-        if (!context.relay.isCutOff && relayedTo.isNotEmpty()) return null
-        return context.relay.choose(relayedTo)
-    }
-
-    private fun reachesNone(): Boolean = context.relay.isCutOff || failedConnections >= MIN_FAILED_BEFORE_RELAY
-
     // Returns null if the request is to be placed again, or sent through another instance.
     private fun attemptThrough(peer: RegisteredInstance, route: ForwardRoute, lastEventId: Long?): Outcome? {
         turn.end(elapsedMs())
-        relayedTo += peer.id
-        log.info("forward: {} goes through {}", request.id, peer.id)
         val hop = RelayHop(route.maxRuns - counts.mayHaveRun, isCounted = service != null)
         val call = RelayCall(request, peer, remainingMs(), lastEventId, hop)
         val relayed = context.client.relay(call, body, needsNewConnection = !route.kind.isIdempotent, guard) { sent ->
@@ -129,10 +115,9 @@
         val result = relayed.send
         val end = if (result is SendResult.Ended) result.end else null
         val isRefused = relayed.outcome == RelayOutcome.REFUSED
-        // The other instance may have used all runs. The last one is counted with the end of the send.
-        if (!isRefused &&
-            (end == null || end is AttemptEnd.Broken)
-        ) {
+        // The other instance may have used all the runs left to it. The last one is counted with the end of the send.
+        val mayHaveRun = !isRefused && (end == null || end is AttemptEnd.Broken)
+        if (mayHaveRun) {
             counts = counts.copy(mayHaveRun = counts.mayHaveRun + hop.maxRuns - 1)
         }
         // Stands for the instance where an answer or a log line names its upstream.
@@ -151,7 +136,7 @@
             counts += end
             return Outcome.Failed(failureOf(end, counts))
         }
-        if (end is AttemptEnd.NotSent) context.relay.onRefused(peer.id)
+        if (end is AttemptEnd.NotSent) relay.onUnable(peer)
         return if (end != null) decideNext(route, null, end, null) else onAnswerRead(route, null, outcome as Outcome.Single?)
     }
 
@@ -210,7 +195,7 @@
         if (outcome !is Outcome.Single || outcome.largeBody == null) endAttempt()
         return when (result) {
             is SendResult.Ended -> {
-                if (result.end is AttemptEnd.NotSent) failedConnections++
+                if (result.end is AttemptEnd.NotSent) relay.onConnectionFailed()
                 decideNext(admitted.route, placement.upstream, result.end, result.faultyAddress)
             }
 
@@ -298,7 +283,7 @@
         counts += end
         lastEnd = end
         // Another instance judges the upstreams that it has used by itself.
-        upstream?.takeIf { it.id !in relayedTo }?.let {
+        upstream?.takeIf { !relay.isPeer(it) }?.let {
             penaliseFault(it, end, faultyAddress)
             crashes.onEnd(it, end)
         }
@@ -427,9 +412,6 @@
         /** With less time left a send would not be answered in time. */
         const val MIN_SEND_MS = 20L
 
-        /** One upstream that does not accept a connection has mostly crashed; a second one is a reason to try another way. */
-        const val MIN_FAILED_BEFORE_RELAY = 2
-
         /** Bounds the length of a log line. */
         const val MAX_LOGGED_PARTS = 8
         val log = LoggerFactory.getLogger(ForwardRun::class.java)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/Relay.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/Relay.kt
@@ -15,7 +15,7 @@
 /**
  * Sends requests through other instances while this one is cut off from all upstreams.
  *
- * Before it takes itself for cut off, it tries upstreams of other services. While it is cut off, it tries regularly to connect to an
+ * Before it takes itself for cut off, it tries one more upstream of each service. While it is cut off, it tries regularly to connect to an
  * upstream, and sends requests itself again once one accepts.
  *
  * @param others returns the other instances by id.
