Read the registrations again in time when a connection to the store is silent

Cause: the follower of the registrations had a single read open, which waited 5 s for a record and had 0.8 s more for the answer. On a silent connection nothing ends it earlier, so the list was up to 5.8 s old plus a pause, while a leaving must be known within 2 s. Two more delays came on top: the pause after a failed call, and the grace for registrations that expire in an outage, which a silent read of over 1.2 s began although the store had answered all the while.

Change: the wait and the time for an answer follow from the time for leaving (a half and a fifth of it). A read of changes has a connection of its own, since a kept one may have become silent since its last use. The first silent read is repeated at once, with more time for a slow store, and is no outage. An instance that turns from readers that don't answer to the store doesn't wait for a record at first.

FeedFollowerTest: the pause and the outage after a silent read.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/FeedReader.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FeedReader.kt
@@ -45,12 +45,16 @@
 ) {
     private var lastAnswerMs: Long? = null
     private var failures = 0
+    private var isOnlyConnectionSilent = false
     private var lastEra: Long? = null
 
-    /** Reads like [FeedReader.read], and waits up to [waitMs] for a change. */
-    fun read(from: FeedPosition?, waitMs: Long): Result<FeedRead, FeedFailure> {
+    /**
+     * Reads like [FeedReader.read], and waits up to [waitMs] for a change. A connection that does not answer within [answerMs] after
+     * that wait is given up.
+     */
+    fun read(from: FeedPosition?, waitMs: Long, answerMs: Long): Result<FeedRead, FeedFailure> {
         val sentAt = clock()
-        return (if (from == null) newest(sentAt) else changes(from, waitMs, sentAt)).onErr(::onFailure)
+        return (if (from == null) newest(sentAt) else changes(from, waitMs, answerMs, sentAt)).onErr { onFailure(it, sentAt) }
     }
 
     private fun newest(sentAt: ClockReading) = feed.newest().map { page ->
@@ -64,10 +68,13 @@
         FeedRead(page.records, page.next, isSnapshot = true, sentAt, onAnswer(page.era))
     }
 
-    private fun changes(from: FeedPosition, waitMs: Long, sentAt: ClockReading): Result<FeedRead, FeedFailure> {
-        // After a failure any answer shows that the store is available again, so it must not be delayed by a wait for a record.
-        val allowedMs = if (failures > 0) 0 else waitMs
-        val page = feed.changes(from.offset, allowedMs).getOrElse { return Err(it) }
+    private fun changes(from: FeedPosition, waitMs: Long, answerMs: Long, sentAt: ClockReading): Result<FeedRead, FeedFailure> {
+        // After a failure any answer shows that the store is available again, so it must not be delayed by a wait for a record. A
+        // slow store gets more time then.
+        val hasFailed = failures > 0
+        val allowedMs = if (hasFailed) 0 else waitMs
+        val allowedAnswerMs = if (hasFailed) maxOf(answerMs, SLOW_ANSWER_MS) else answerMs
+        val page = feed.changes(from.offset, allowedMs, allowedAnswerMs).getOrElse { return Err(it) }
         // The offset is from another numbering, so records before it may be new.
         if (page.era != from.era) return Err(FeedFailure.HistoryDropped("the store went from era ${from.era} to ${page.era}"))
         return Ok(FeedRead(page.records, page.next, isSnapshot = false, provenAt(sentAt, allowedMs, page), onAnswer(page.era)))
@@ -88,18 +95,24 @@
         if (failures > 0) log.info("feed: {} answers again after {} failures, in era {}", name, failures, era)
         // Registrations that are younger than the store's copy are missing until their upstreams write them again.
         val isRestored = lastEra.let { it != null && it != era }
-        val isAfterOutage = failures > 0 && last != null && nowMs - last >= outageMs
+        // A silent read that is answered at once on a new connection was no outage of the store.
+        val isAfterOutage = failures > 0 && !isOnlyConnectionSilent && last != null && nowMs - last >= outageMs
         lastEra = era
         failures = 0
         lastAnswerMs = nowMs
         return if (isRestored || isAfterOutage) nowMs else null
     }
 
-    private fun onFailure(failure: FeedFailure) {
-        if (failure is FeedFailure.Unreachable && failures++ == 0) log.warn("feed: {} lost: {}", name, failure.message)
+    private fun onFailure(failure: FeedFailure, sentAt: ClockReading) {
+        if (failure is FeedFailure.HistoryDropped) return
+        isOnlyConnectionSilent = failures == 0 && failure is FeedFailure.Silent
+        if (failures++ > 0) return
+        log.warn("feed: {} lost after {} ms: {}", name, clock().steadyMs - sentAt.steadyMs, failure.message)
     }
 
     private companion object {
+        /** The store answers within a few milliseconds, or 50 times that when it is slow. */
+        const val SLOW_ANSWER_MS = 800L
         val log = LoggerFactory.getLogger(StoreReader::class.java)
     }
 }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -94,7 +94,7 @@
     )
     private val configFollower = follower(CONFIG_FEED, configFeed, FeedPacings.ofConfig(settings), fleetView.configListener)
     private val upstreamFollower =
-        follower(UPSTREAM_FEED, upstreamFeed, FeedPacings.ofUpstreams(settings), fleetView.upstreamListener)
+        follower(UPSTREAM_FEED, upstreamFeed, FeedPacings.ofUpstreams(settings.leavingMs), fleetView.upstreamListener)
 
     private val drain = Drain(
         ReadinessGate(),
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RecordFeed.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RecordFeed.kt
@@ -26,6 +26,9 @@
 
     /** The store did not answer or refused the read. */
     data class Unreachable(override val message: String) : FeedFailure
+
+    /** No answer came in time on an established connection: either the store or only this connection is silent. */
+    data class Silent(override val message: String) : FeedFailure
 }
 
 /** Records of one kind in the platform's store. Implementations do not retry. */
@@ -33,8 +36,11 @@
     /** Reads the newest record of each key. Later changes are read from the page's [StoredPage.nextOffset] on. */
     fun newest(): Result<StoredPage, FeedFailure>
 
-    /** Reads the records from [fromOffset] on; if there are none, waits up to [waitMs] for one. */
-    fun changes(fromOffset: Long, waitMs: Long): Result<StoredPage, FeedFailure>
+    /**
+     * Reads the records from [fromOffset] on; if there are none, waits up to [waitMs] for one. Fails if there is no answer within
+     * [answerMs] after that wait.
+     */
+    fun changes(fromOffset: Long, waitMs: Long, answerMs: Long): Result<StoredPage, FeedFailure>
 
     /** Decodes [records] to pairs of key and value, in order; the value is null if the record is a removal or malformed. */
     fun decode(records: List<StoredRecord>): List<Pair<String, T?>>
--- a/node/src/main/kotlin/org/godwitwick/node/forward/SharedReader.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/SharedReader.kt
@@ -19,12 +19,20 @@
  * Pacing of the reads of a [SharedReader].
  *
  * @property waitMs time for which a read of the store waits for records while every instance reads the store itself.
+ * @property answerMs time after that wait within which the store must answer; otherwise the read is sent again on a new connection.
  * @property periodMs minimum time between the starts of two such reads, so that frequent records are read together.
  * @property sharedWaitMs wait of a reader on which other instances depend, and of a long poll of that reader.
  * @property sharedPeriodMs minimum time between two reads of a reader or of its followers.
  * @property maxAgeMs age of a reader's records above which another reader is asked.
  */
-data class FeedPacing(val waitMs: Long, val periodMs: Long, val sharedWaitMs: Long, val sharedPeriodMs: Long, val maxAgeMs: Long)
+data class FeedPacing(
+    val waitMs: Long,
+    val answerMs: Long,
+    val periodMs: Long,
+    val sharedWaitMs: Long,
+    val sharedPeriodMs: Long,
+    val maxAgeMs: Long,
+)
 
 /**
  * Reads a feed from the store or, in a large fleet, from an instance that reads the store, and caches the records for other
@@ -50,6 +58,7 @@
     private var lastRecoveryMs: Long? = null
     private var lastSource: InstanceId? = null
     private var latestEra = 0L
+    private var wasSilent = false
 
     override fun read(from: FeedPosition?): Result<FeedRead, FeedFailure> {
         pauseUntil(nextReadMs)
@@ -72,10 +81,18 @@
     private fun readStore(plan: ReaderPlan, from: FeedPosition?, nowMs: Long): Result<FeedRead, FeedFailure> {
         val isShared = plan.readers.isNotEmpty()
         nextReadMs = nowMs + if (isShared) pacing.sharedPeriodMs else pacing.periodMs
-        // A follower that exceptionally reads the store itself must soon be able to ask a reader again.
-        val waitMs = if (!isShared) pacing.waitMs else pacing.sharedWaitMs
-        return store.read(from, waitMs).onOk { read ->
+        val waitMs = when {
+            !isShared -> pacing.waitMs
+
+            // Time was lost with readers that did not answer, and the connection to the store may be silent as well.
+            lastSource != null -> 0
+
+            // A follower that exceptionally reads the store itself must soon be able to ask a reader again.
+            else -> pacing.sharedWaitMs
+        }
+        return store.read(from, waitMs, pacing.answerMs).onOk { read ->
             sourceSelector.onStoreAnswered()
+            wasSilent = false
             onSourceUsed(null, read)
             read.storeRecoveredAtMs?.let { lastRecoveryMs = it }
             cache.onRead(read, isFirstHand = true)
@@ -83,11 +100,17 @@
             // The next read may ask another instance, so it is not delayed by the period. The selector limits the rate of calls
             // to the store.
             nextReadMs = nowMs
-            val isRefused = failure is FeedFailure.Unreachable
-            if (isRefused) sourceSelector.onStoreFailed(plan, clock().steadyMs, random.nextDouble())
+            if (mustPauseAfter(failure)) sourceSelector.onStoreFailed(plan, clock().steadyMs, random.nextDouble())
         }
     }
 
+    // A connection may be silent while the store answers on new ones, so the first silent read is repeated at once.
+    private fun mustPauseAfter(failure: FeedFailure): Boolean = when (failure) {
+        is FeedFailure.HistoryDropped -> false
+        is FeedFailure.Unreachable -> true
+        is FeedFailure.Silent -> wasSilent.also { wasSilent = true }
+    }
+
     private fun askReader(source: FeedSource.Reader, from: FeedPosition?, isReader: Boolean): FeedRead? {
         val askedAt = clock()
         val holdMs = if (source.mayLongPoll) pacing.sharedWaitMs else 0
--- a/node/src/test/kotlin/org/godwitwick/node/forward/FeedFollowerTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/FeedFollowerTest.kt
@@ -11,6 +11,7 @@
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 
 /** Follows a feed on an instance of a small fleet, which reads the store itself. */
 class FeedFollowerTest {
@@ -18,13 +19,15 @@
     private val answers = ArrayDeque<() -> Result<StoredPage, FeedFailure>>()
     private val notifications = ArrayList<String>()
     private val waits = ArrayList<Long>()
+    private val answerLimits = ArrayList<Long>()
     private var provenAt: ClockReading? = null
     private var newest = page(5, "a" to "1")
     private val feed = object : RecordFeed<String> {
         override fun newest(): Result<StoredPage, FeedFailure> = Ok(newest)
 
-        override fun changes(fromOffset: Long, waitMs: Long): Result<StoredPage, FeedFailure> {
+        override fun changes(fromOffset: Long, waitMs: Long, answerMs: Long): Result<StoredPage, FeedFailure> {
             waits += waitMs
+            answerLimits += answerMs
             return answers.removeFirst()()
         }
 
@@ -52,7 +55,7 @@
         StoreReader("test", feed, outageMs = 1_200, clock),
         FeedCache(clock),
         FeedSourceSelector(InstanceId("entry-1"), "dc"),
-        FeedPacing(waitMs = 2_000, periodMs = 0, sharedWaitMs = 1_000, sharedPeriodMs = 0, maxAgeMs = 2_000),
+        FeedPacing(waitMs = 2_000, answerMs = 400, periodMs = 0, sharedWaitMs = 1_000, sharedPeriodMs = 0, maxAgeMs = 2_000),
         plan = { ReaderPlan(emptyMap()) },
         ask = { _, _, _ -> error("there is nobody to ask") },
         clock,
@@ -128,6 +131,31 @@
         expectThat(notifications.filter { it == "regained" }).containsExactly("regained")
     }
 
+    // Guards against a leaving upstream that gets work for longer, because a connection to the store has become silent: a pause before
+    // the next read, and the grace for registrations that have expired in an outage, would come on top of the silent read.
+    @Test
+    fun `a silent read is repeated at once and with more time, and is no outage of the store`() {
+        follower.step()
+        answer(2_400, Err(FeedFailure.Silent("no answer")))
+        answer(1, Ok(page(6, "a" to null)))
+        repeat(2) { follower.step() }
+        expectThat(nowMs).isEqualTo(3_401)
+        expectThat(waits).containsExactly(2_000, 0)
+        expectThat(answerLimits).containsExactly(400, 800)
+        expectThat(notifications).containsExactly("snapshot {a=1}", "changes [(a, null)]")
+    }
+
+    @Test
+    fun `a store that stays silent is called after a pause and its recovery is reported`() {
+        follower.step()
+        answer(2_400, Err(FeedFailure.Silent("no answer")))
+        answer(800, Err(FeedFailure.Silent("no answer")))
+        answer(1, empty())
+        repeat(3) { follower.step() }
+        expectThat(nowMs).isGreaterThan(4_201)
+        expectThat(notifications).containsExactly("snapshot {a=1}", "regained", "changes []")
+    }
+
     @Test
     fun `the recovery of the store is reported before the records read after it`() {
         follower.step()
--- a/node/src/test/kotlin/org/godwitwick/node/forward/SharedReaderTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/SharedReaderTest.kt
@@ -34,20 +34,28 @@
         var era = 1L
         var calls = 0
 
+        /** Instances whose connection to the store is silent; they use a new one after the read that shows it. */
+        val silent = HashSet<InstanceId>()
+
         fun restore(size: Int) {
             records.subList(size, records.size).clear()
             era++
         }
 
-        fun feedOf(id: InstanceId) = object : RecordFeed<String> {
+        fun feedOf(id: InstanceId, onHang: (Long) -> Unit) = object : RecordFeed<String> {
             override fun newest() = answer(id) {
                 StoredPage(records.associateBy { it.key }.values.toList(), records.size.toLong(), era)
             }
 
-            override fun changes(fromOffset: Long, waitMs: Long) = if (fromOffset > records.size) {
-                Err(FeedFailure.HistoryDropped("gone"))
-            } else {
-                answer(id) { StoredPage(records.drop(fromOffset.toInt()), records.size.toLong(), era) }
+            override fun changes(fromOffset: Long, waitMs: Long, answerMs: Long) = when {
+                silent.remove(id) -> {
+                    onHang(waitMs + answerMs)
+                    Err(FeedFailure.Silent("no answer"))
+                }
+
+                fromOffset > records.size -> Err(FeedFailure.HistoryDropped("gone"))
+
+                else -> answer(id) { StoredPage(records.drop(fromOffset.toInt()), records.size.toLong(), era) }
             }
 
             override fun decode(records: List<StoredRecord>) = records.map { it.key to it.value?.decodeToString() }
@@ -62,20 +70,21 @@
     private inner class Instance(val id: InstanceId, dataCentre: String) {
         // Clocks of different instances are unrelated.
         private val offsetMs = id.value.hashCode().toLong()
-        private val clock = { ClockReading(nowMs + offsetMs, nowMs - offsetMs) }
+        private val clock = { maxOf(nowMs, busyUntilMs).let { ClockReading(it + offsetMs, it - offsetMs) } }
         val cache = FeedCache(clock) { Executor { } }
-        private val feed = store.feedOf(id)
+        private val feed = store.feedOf(id, ::hang)
         val recoveries = ArrayList<Long>()
         val values = HashMap<String, String?>()
         var provenAt: ClockReading? = null
         private var untilMs = 0L
+        private var busyUntilMs = 0L
         private val reader = SharedReader(
             "test",
             id,
             StoreReader("test", feed, outageMs = 1_200, clock),
             cache,
             FeedSourceSelector(id, dataCentre),
-            FeedPacing(waitMs = 0, periodMs = 500, sharedWaitMs = 0, sharedPeriodMs = 500, maxAgeMs = 2_000),
+            pacing,
             { plan },
             { to, pull, timeoutMs -> answerOf(id, to, pull, timeoutMs) },
             clock,
@@ -105,13 +114,18 @@
 
         val ageMs: Long? get() = provenAt?.let { clock().maxElapsedMsSince(it) }
 
+        /** Spends [ms] in a call that is not answered. */
+        fun hang(ms: Long) {
+            busyUntilMs = maxOf(nowMs, busyUntilMs) + ms
+        }
+
         fun run() {
             // A pause ends the run; the first run after the pause continues reading.
-            while (nowMs >= untilMs) {
+            while (nowMs >= maxOf(untilMs, busyUntilMs)) {
                 try {
                     follower.step()
                 } catch (e: Paused) {
-                    untilMs = nowMs + e.pausedMs
+                    untilMs = maxOf(nowMs, busyUntilMs) + e.pausedMs
                 }
             }
         }
@@ -123,12 +137,19 @@
     private val store = Store()
     private val dataCentres = (1..95).associate { InstanceId("entry-$it") to "dc-${it % 5}" }
     private var plan = ReaderPlan.of(dataCentres)
-    private val instances = dataCentres.mapValues { (id, dataCentre) -> Instance(id, dataCentre) }
+    private var pacing =
+        FeedPacing(waitMs = 0, answerMs = 400, periodMs = 500, sharedWaitMs = 0, sharedPeriodMs = 500, maxAgeMs = 2_000)
+    private val instances by lazy { dataCentres.mapValues { (id, dataCentre) -> Instance(id, dataCentre) } }
     private val dead = HashSet<InstanceId>()
-    private val readers = instances.values.filter { plan.isReader(it.id) }
+    private var linksSilentUntilMs = 0L
+    private val readers by lazy { instances.values.filter { plan.isReader(it.id) } }
 
     private fun answerOf(from: InstanceId, to: InstanceId, pull: FeedPull, timeoutMs: Long): FeedAnswer? {
         check(timeoutMs > 0 && from != to)
+        if (nowMs < linksSilentUntilMs) {
+            instances.getValue(from).hang(timeoutMs)
+            return null
+        }
         return if (to in dead) null else instances.getValue(to).cache.answer(pull).getNow(null)
     }
 
@@ -267,6 +288,23 @@
         expectThat(late.values).isEqualTo(liveInstances().first { it !== late }.values)
     }
 
+    // Guards against a leaving upstream that gets work for too long, because reads of the store and of readers hang on connections
+    // that have become silent.
+    @Test
+    fun `all instances know a change within its time after all open connections have become silent`() {
+        pacing = FeedPacings.ofUpstreams(LEAVING_MS)
+        put("a", "1")
+        advance(2_000)
+        repeat(10) { round ->
+            advance(CALM_MS + round * 130L)
+            store.silent += dataCentres.keys
+            linksSilentUntilMs = nowMs + LINK_RENEWAL_MS
+            put("a", "leaving $round")
+            advance(LEAVING_MS)
+            expectThat(liveInstances().map { it.values["a"] }).all { isEqualTo("leaving $round") }
+        }
+    }
+
     // Guards against records that are passed on with an offset that is not theirs.
     @Test
     fun `a cache states an unknown offset for a pull from an offset that it has not reached`() {
@@ -296,5 +334,12 @@
 
     private companion object {
         const val TICK_MS = 50L
+
+        /** Time for leaving in the deployments that read through readers. */
+        const val LEAVING_MS = 4_000L
+
+        /** A link that does not answer is replaced after this time, see [org.godwitwick.node.peer.PeerLimits]. */
+        const val LINK_RENEWAL_MS = 2_500L
+        const val CALM_MS = 5_000L
     }
 }
