Read the configuration again in time when a connection to the store is silent

What callers saw: a new key was refused, and an old one accepted, for up to 3.1 s after the configuration was published, where 2 s are allowed.

Cause: it waited two fifths of the time for revocations (2 s) and had 0.8 s more, without regard to the time for a change (configuration-apply-ms), which wasn't read from the settings at all.

Change: the wait, the time for an answer and the largest age of a reader's records follow from the smaller of both times.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/FeedPacings.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FeedPacings.kt
@@ -4,20 +4,19 @@
 internal object FeedPacings {
     /** Configuration changes within this time are read together. */
     private const val CONFIG_PERIOD_MS = 50L
-    private const val CONFIG_ANSWER_MS = 800L
 
     /**
-     * The configuration must be confirmed within [ForwardSettings.revocationMs], after which revoked keys are refused. When it is
+     * The configuration must be confirmed within [revocationMs], after which revoked keys are refused. When it is
      * read through a reader, that time has to cover the reader's own wait, a long poll of the reader and a pull from another
-     * reader.
+     * reader. A new configuration must be in force within [applyMs], also if it is read on a connection that has become silent.
      */
-    fun ofConfig(settings: ForwardSettings) = FeedPacing(
-        waitMs = settings.revocationMs * 2 / 5,
-        answerMs = CONFIG_ANSWER_MS,
+    fun ofConfig(revocationMs: Long, applyMs: Long) = FeedPacing(
+        waitMs = minOf(revocationMs * 2 / 5, applyMs / 2),
+        answerMs = applyMs / 5,
         periodMs = CONFIG_PERIOD_MS,
-        sharedWaitMs = settings.revocationMs / 5,
+        sharedWaitMs = minOf(revocationMs / 5, applyMs / 4),
         sharedPeriodMs = CONFIG_PERIOD_MS,
-        maxAgeMs = settings.revocationMs * 2 / 5,
+        maxAgeMs = minOf(revocationMs * 2 / 5, applyMs * 3 / 8),
     )
 
     /**
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -92,7 +92,8 @@
         relay = relay,
         onLongPromptPlaced = peers::sendLoadSoon,
     )
-    private val configFollower = follower(CONFIG_FEED, configFeed, FeedPacings.ofConfig(settings), fleetView.configListener)
+    private val configFollower =
+        follower(CONFIG_FEED, configFeed, FeedPacings.ofConfig(settings.revocationMs, settings.applyMs), fleetView.configListener)
     private val upstreamFollower =
         follower(UPSTREAM_FEED, upstreamFeed, FeedPacings.ofUpstreams(settings.leavingMs), fleetView.upstreamListener)
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardSettings.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardSettings.kt
@@ -9,6 +9,7 @@
  * @property readinessPath path of the load balancer's readiness probe.
  * @property heartbeatMs time between two registrations of an upstream in the store.
  * @property revocationMs time after which no instance may accept a revoked key.
+ * @property applyMs time within which a new configuration must be in force.
  * @property leavingMs time within which a leaving upstream gets no new work.
  * @property retryFraction retries per request that the whole fleet may send to a service.
  * @property retryReserve number of further retries for the whole fleet within [retryWindowMs].
@@ -30,6 +31,7 @@
     val metricsPath: String,
     val heartbeatMs: Long,
     val revocationMs: Long,
+    val applyMs: Long,
     val leavingMs: Long,
     val retryFraction: Double,
     val retryReserve: Int,
