Do not join two answers of one upstream to one

What callers saw (users' report, MIXED in real runs): a success where the server had answered a failure; upstreams may answer twice, the second time late. Reproduced: StutteringUpstreamTest on real sockets got 200 with the signature and body of a 500, and bodies that go on as the head of the second answer (282 of 5,100 successes in a run of 20 s with random stutters).

Cause: an upstream that stops within an answer and sends another one on the same connection. OkHttp takes the second status line for a part of the first one or for a header without a name, and of repeated headers the last one; a body with a length takes whatever comes next. Both answers bear the right id, so the check of the id doesn't help. Ruled out: the answer of another request, and an earlier answer to the same request (a second send has a new connection).

Change: an answer whose head contains another one counts as broken off, and so does one whose body is followed by bytes that don't begin an answer (ResponseTail). If they do, it is whole and delivered. Either way the connection is closed, so that the next request doesn't meet the rest.

Tests: StutteringUpstreamTest, 3 of 3 failed before (cut at any byte from the status code on; a whole answer sent twice at once, which made a later look-up end with 502; random stutters with 16 callers). All pass, with FaultyUpstreamTest and EndlessAnswerTest. That this is the cause of the users' report isn't shown: its record has no line of these requests.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -135,7 +135,7 @@
         val head = headOf(response, gate)
         val open = SendResult.Open(head, response, sent)
         val end = when {
-            outcome == null || head.requestId != call.request.id ->
+            outcome == null || head.requestId != call.request.id || head.isAmbiguous ->
                 AttemptEnd.Broken("the instance's answer is not for this request").also { open.abort() }
 
             outcome == RelayOutcome.UNABLE -> AttemptEnd.NotSent("the instance refused with ${head.status}")
@@ -170,7 +170,7 @@
         val head = headOf(response, gate)
         val open = SendResult.Open(head, response, sent)
         // An answer that may belong to another request, of this upstream or of an earlier one at its address, states nothing.
-        if (head.requestId == call.request.id) onStatement(call.upstream, head.statement)
+        if (head.requestId == call.request.id && !head.isAmbiguous) onStatement(call.upstream, head.statement)
         val fault = answerFaultOf(call, head)
         if (fault != null) {
             open.abort()
@@ -184,8 +184,17 @@
 
     // Only an instance itself states how a relayed request has ended.
     private fun headOf(response: Response, gate: WriteGate): AnswerHead =
-        dialect.decodeHead(response.code, withRetryAfter(response.headers, gate))
-            .let { head -> head.copy(headers = head.headers.filterNot { RelayHeaders.isOwn(it.first) }) }
+        dialect.decodeHead(response.code, withRetryAfter(response.headers, gate)).let { head ->
+            head.copy(
+                headers = head.headers.filterNot { RelayHeaders.isOwn(it.first) },
+                isAmbiguous = head.isAmbiguous || containsAnotherHead(response),
+            )
+        }
+
+    // The upstream has stopped within a head and sent another one. OkHttp takes the second status line for a part of the first one or
+    // for a header without a name.
+    private fun containsAnotherHead(response: Response): Boolean =
+        STATUS_LINE_START in response.message || "" in response.headers.names()
 
     // The interceptor removes the header of a 503, because OkHttp would act on it.
     private fun withRetryAfter(headers: Headers, gate: WriteGate): Headers =
@@ -197,6 +206,8 @@
 
         head.requestId != call.request.id -> "the upstream answered another request"
 
+        head.isAmbiguous -> "the head of the answer contains another one"
+
         head.isNotExecuted -> null
 
         head.isEncoded -> "the answer has an encoding that was not asked for"
@@ -242,6 +253,7 @@
         const val IDLE_TIMEOUT_MS = 4_000L
         val JSON_MEDIA_TYPE = "application/json".toMediaType()
         const val PLACEHOLDER_HOST = "127.0.0.1"
+        const val STATUS_LINE_START = "HTTP/1."
         const val ACCEPT_ENCODING = "Accept-Encoding"
         val METHODS_WITHOUT_BODY = setOf("GET", "HEAD")
         val SUCCESS = 200..299
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMessages.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMessages.kt
@@ -84,6 +84,7 @@
  * @property faultyAddress address of another upstream that caused a refusal, or null.
  * @property headers headers that are forwarded to the caller.
  * @property statement what the upstream states about itself; it holds only if the answer is for the request that was sent.
+ * @property isAmbiguous whether the head contains parts of another one, so that neither can be trusted.
  */
 data class AnswerHead(
     val status: Int,
@@ -95,4 +96,5 @@
     val faultyAddress: String?,
     val headers: List<Pair<String, String>>,
     val statement: UpstreamStatement = UpstreamStatement(),
+    val isAmbiguous: Boolean = false,
 )
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/ReceiveLimit.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ReceiveLimit.kt
@@ -24,6 +24,13 @@
     private var isBounded = false
     private var bytesSinceBodyRead = 0L
     private val input by lazy { LimitedInput(super.getInputStream()) }
+    private var tail = ResponseTail()
+
+    /** Starts to receive the response to the next request; the result follows its bytes. */
+    fun beginResponse(): ResponseTail {
+        onBodyRead()
+        return ResponseTail().also { tail = it }
+    }
 
     /** Restarts the count: the bytes received so far are accounted for by a response body or an earlier response. */
     fun onBodyRead() {
@@ -34,9 +41,17 @@
     override fun getInputStream(): InputStream = input
 
     private inner class LimitedInput(private val source: InputStream) : InputStream() {
-        override fun read(): Int = source.read().also { count(if (it < 0) 0 else 1) }
+        override fun read(): Int {
+            val single = ByteArray(1)
+            return if (read(single, 0, 1) < 0) -1 else single[0].toInt() and BYTE_MASK
+        }
 
-        override fun read(target: ByteArray, offset: Int, length: Int): Int = source.read(target, offset, length).also(::count)
+        override fun read(target: ByteArray, offset: Int, length: Int): Int {
+            val count = source.read(target, offset, length)
+            if (count > 0) tail.onReceived(target, offset, count)
+            count(count)
+            return count
+        }
 
         override fun available(): Int = source.available()
 
@@ -55,6 +70,7 @@
     private companion object {
         /** Twice the largest response head that OkHttp accepts. */
         const val MAX_NON_BODY_BYTES = 512L * 1024
+        const val BYTE_MASK = 0xff
     }
 }
 
@@ -74,18 +90,38 @@
     private fun unsupported(): Socket = throw UnsupportedOperationException("only unconnected sockets can be created")
 }
 
-/** Reports each read of the response body to the [LimitedSocket] of the call. */
+/** Reports each read of the response body, and its end, to the [LimitedSocket] of the call. */
 internal object ReceiveLimitInterceptor : Interceptor {
+    // Bytes after a body belong to no request, and the next one must not read them. Only a body with a length has a known end here.
+    private fun LimitedSocket.dropIfFollowed(tail: ResponseTail, length: Long): Boolean {
+        val isFollowed = length >= 0 && tail.isFollowed(length)
+        if (isFollowed) close()
+        return isFollowed
+    }
+
     override fun intercept(chain: Interceptor.Chain): Response {
         val socket = chain.connection()?.socket() as? LimitedSocket
-        socket?.onBodyRead()
+        val tail = socket?.beginResponse()
         val response = chain.proceed(chain.request())
-        if (socket == null) return response
+        if (socket == null || tail == null) return response
         socket.onBodyRead()
         val body = response.body
+        val length = body.contentLength()
         val countedSource = object : ForwardingSource(body.source()) {
-            override fun read(sink: Buffer, byteCount: Long): Long = super.read(sink, byteCount).also { socket.onBodyRead() }
+            override fun read(sink: Buffer, byteCount: Long): Long {
+                val count = super.read(sink, byteCount)
+                socket.onBodyRead()
+                if (count < 0 && socket.dropIfFollowed(tail, length) && !tail.isFollowedByResponse(length)) {
+                    throw IOException("the body of $length bytes is followed by bytes that begin no response")
+                }
+                return count
+            }
+
+            override fun close() {
+                super.close()
+                socket.dropIfFollowed(tail, length)
+            }
         }
-        return response.newBuilder().body(countedSource.buffer().asResponseBody(body.contentType(), body.contentLength())).build()
+        return response.newBuilder().body(countedSource.buffer().asResponseBody(body.contentType(), length)).build()
     }
 }
