Frame each answer by what is known of its body, not by its media type

Reproduced with a stream that has neither a length nor chunks and ends inside an event, and a caller that asks to close its connection: 200 with a regular end.

Cause: a body of unknown length got chunks only if its media type was exactly `text/event-stream`. Otherwise Undertow ends it by closing the connection where that isn't kept (Connection: close, or a planned stop), which is what an abort does as well. Ruled out: the reading side, since the same answer is visibly cut on a kept connection.

Change: a known length is stated, and any other body has chunks. The caller is watched until the end of each body of unknown length.

--- a/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
@@ -6,6 +6,7 @@
 import io.undertow.server.handlers.BlockingHandler
 import io.undertow.util.Headers
 import io.undertow.util.HttpString
+import io.undertow.util.Methods
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method
 import org.http4k.core.Request
@@ -141,16 +142,29 @@
             exchange.statusCode = response.status.code
             response.headers.groupBy({ it.first }, { it.second ?: "" })
                 .forEach { (name, values) -> exchange.responseHeaders.putAll(HttpString(name), values) }
-            if (exchange.isHttp11 && response.header("Content-Type") == EVENT_STREAM) {
-                // With "Connection: close" Undertow would end the body by closing the connection, as an abort does.
-                exchange.responseHeaders.put(Headers.TRANSFER_ENCODING, "chunked")
-            }
+            val hasKnownEnd = frameBody(exchange, response)
             // After the last byte of an answer with a known length the caller may send its next request, so the watch ends here.
-            if (response.header("Content-Type") != EVENT_STREAM) caller.close()
+            if (hasKnownEnd) caller.close()
             if (isClosing() || response.header("Connection") == "close") exchange.isPersistent = false
             response.body.stream.use { body -> copyOrAbort(exchange, body, caller) }
         }
 
+        // Returns whether the end of the body is known from the head. On a connection that is not kept, Undertow would end any other
+        // body by closing the connection, as an abort does.
+        private fun frameBody(exchange: HttpServerExchange, response: Response): Boolean {
+            if (exchange.responseHeaders.contains(Headers.CONTENT_LENGTH) || !mayHaveBody(exchange)) return true
+            val length = response.body.length
+            if (length != null) {
+                exchange.responseContentLength = length
+                return true
+            }
+            if (exchange.isHttp11) exchange.responseHeaders.put(Headers.TRANSFER_ENCODING, "chunked")
+            return false
+        }
+
+        private fun mayHaveBody(exchange: HttpServerExchange): Boolean =
+            exchange.requestMethod != Methods.HEAD && exchange.statusCode !in BODILESS_STATUSES
+
         // If the body fails midway, the connection is closed without the last chunk, so that clients notice the failure.
         private fun copyOrAbort(exchange: HttpServerExchange, body: InputStream, caller: CallerWatch) {
             try {
@@ -194,7 +208,7 @@
          * dropped.
          */
         const val ARRIVAL_HEADER = "Godwitwick-Arrival-Nanos"
-        private const val EVENT_STREAM = "text/event-stream"
+        private val BODILESS_STATUSES = setOf(204, 304)
         private const val COPY_BUFFER_BYTES = 16 * 1024
         private val log = LoggerFactory.getLogger(StreamingUndertow::class.java)
     }
