Abort an answer whose body fails with an unexpected exception

What callers saw: an answer that ends early with its last chunk, and so looks complete, if its body fails with anything but an I/O error.

Cause: only IOException closed the connection; any other exception reached Undertow, which ends a started answer regularly.

Change: whatever ends the copying early closes the connection; the exception still reaches the log.

--- a/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
@@ -165,13 +165,17 @@
         private fun mayHaveBody(exchange: HttpServerExchange): Boolean =
             exchange.requestMethod != Methods.HEAD && exchange.statusCode !in BODILESS_STATUSES
 
-        // If the body fails midway, the connection is closed without the last chunk, so that clients notice the failure.
+        // If the body fails midway, for whatever reason, the connection is closed without the last chunk, so that clients notice the
+        // failure. Undertow would end the answer regularly after an unexpected exception.
         private fun copyOrAbort(exchange: HttpServerExchange, body: InputStream, caller: CallerWatch) {
+            var isComplete = false
             try {
                 copyFlushing(exchange, body, caller)
+                isComplete = true
             } catch (e: IOException) {
                 log.debug("http: response aborted: {}", e.message)
-                exchange.connection.close()
+            } finally {
+                if (!isComplete) exchange.connection.close()
             }
         }
 
--- a/node/src/test/kotlin/org/godwitwick/node/http/CutAnswerTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/http/CutAnswerTest.kt
@@ -7,8 +7,6 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
-import strikt.assertions.isEmpty
-import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import java.io.IOException
 import java.io.InputStream
@@ -97,6 +95,17 @@
         }
     }
 
+    // Guards against the last chunk after a body that failed with another exception than an I/O error: Undertow ends the answer then.
+    @Test
+    fun `an answer that fails with an unexpected exception does not look complete`() {
+        for (failure in listOf(IllegalStateException("closed"), AssertionError("unexpected"))) {
+            val received = receive(start { failing("text/event-stream") { failure } }, REQUEST)
+            expectThat(received.head).contains("chunked")
+            expectThat(received.looksComplete).isFalse()
+            close()
+        }
+    }
+
     private companion object {
         const val TIMEOUT_MS = 10_000
         const val REQUEST = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
