Reset the connection of an HTTP/1.0 caller whose answer fails

What callers saw: an answer to HTTP/1.0 has no chunks, so that one cut off midway looked complete: its end is the end of the connection, and an abort closed that regularly.

Change: an abort resets such a connection.

Test: CutAnswerTest, `an answer to HTTP 1_0 that fails ends with a reset`, failed before.

--- a/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
@@ -16,6 +16,7 @@
 import org.http4k.server.ServerConfig
 import org.slf4j.LoggerFactory
 import org.slf4j.MDC
+import org.xnio.Options
 import java.io.IOException
 import java.io.InputStream
 import java.net.InetSocketAddress
@@ -175,10 +176,16 @@
             } catch (e: IOException) {
                 log.debug("http: response aborted: {}", e.message)
             } finally {
-                if (!isComplete) exchange.connection.close()
+                if (!isComplete) abort(exchange)
             }
         }
 
+        // Without chunks only a reset can be told from the end of the body.
+        private fun abort(exchange: HttpServerExchange) {
+            if (!exchange.isHttp11) exchange.connection.setOption(Options.CLOSE_ABORT, true)
+            exchange.connection.close()
+        }
+
         private fun copyFlushing(exchange: HttpServerExchange, body: InputStream, caller: CallerWatch) {
             val out = exchange.outputStream
             val buffer = ByteArray(COPY_BUFFER_BYTES)
--- a/node/src/test/kotlin/org/godwitwick/node/http/CutAnswerTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/http/CutAnswerTest.kt
@@ -106,6 +106,12 @@
         }
     }
 
+    // Guards against a regular end where there can be no chunks.
+    @Test
+    fun `an answer to HTTP 1_0 that fails ends with a reset`() {
+        expectThat(receive(start { failing("text/plain") }, "GET / HTTP/1.0\r\n\r\n").looksComplete).isFalse()
+    }
+
     private companion object {
         const val TIMEOUT_MS = 10_000
         const val REQUEST = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
