Send orders to engines on connections of their own

What callers saw: nothing directly; an instance took memory for reserved that the engine had refused, so that the request that was to use it would be refused. Found as a related path of the upstreams that answer twice.

Cause: orders went out on kept connections, and a reply names no order. A late second answer to an earlier request, with status 200, passed for the reply.

Test: OrderReplyTest, failed before (200 where the engine replied 409).

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -157,7 +157,8 @@
             .tag(WriteGate::class.java, WriteGate())
             .post(OneShotBody(order.json.toByteArray(), JSON_MEDIA_TYPE))
         order.headers.forEach { (name, value) -> request.header(name, value) }
-        val call = pooled.newCall(request.build())
+        // A reply names no order, so that a late answer to an earlier request on a kept connection could pass for it.
+        val call = unpooled.newCall(request.build())
         call.timeout().timeout(timeoutMs, TimeUnit.MILLISECONDS)
         return try {
             call.execute().use { it.code }
