Do not put bytes of a caller in front of those that arrived before

Cause: the monitor of callers reads from the connection during an answer and returns what it has read. If the next request has already arrived together with the present one, Undertow puts returned bytes in front of it.

Change: the monitor doesn't read then, and the watch ends.

--- a/node/src/main/kotlin/org/godwitwick/node/http/CallerMonitor.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/CallerMonitor.kt
@@ -53,6 +53,9 @@
         fun check() {
             // Until the request is complete, bytes on the connection belong to its body.
             if (isEnded || !exchange.isRequestComplete || exchange.isResponseComplete) return
+            // The next request has arrived together with this one. What arrives from now on belongs behind it, but returned bytes
+            // would be put in front of it.
+            if (connection.extraBytes != null) return close()
             val buffer = ByteBuffer.allocate(PEEK_BYTES)
             val count = try {
                 connection.originalSourceConduit.read(buffer)
--- a/node/src/test/kotlin/org/godwitwick/node/http/CallerMonitorTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/http/CallerMonitorTest.kt
@@ -67,6 +67,45 @@
         }
     }
 
+    // Guards against bytes that arrive later in front of earlier ones: a caller then gets the answer to another request, and a part of a
+    // body runs as a request that nobody sent.
+    @Test
+    fun `pipelined requests are answered in their order, also if a part of one arrives during the answer to an earlier one`() {
+        val server = StreamingUndertow("127.0.0.1", 0, 4).toDisconnectAwareServer { request, caller ->
+            caller.onDisconnect { }
+            val body = request.body.stream.readAllBytes().decodeToString()
+            if (request.uri.path == "/first") release.await(WAIT_S, TimeUnit.SECONDS)
+            val text = "${request.uri.path} $body"
+            Response(Status.OK).header("Content-Length", text.length.toString()).body(Body(text.byteInputStream(), null))
+        }
+        server.start()
+        try {
+            Socket("127.0.0.1", server.port()).use { caller ->
+                caller.soTimeout = (WAIT_S * 1_000).toInt() / 2
+                val out = caller.getOutputStream()
+                val part = "POST /part HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+                val second = "POST /second HTTP/1.1\r\nHost: a\r\nContent-Length: ${part.length + 2}\r\n\r\n1-"
+                out.write(("GET /first HTTP/1.1\r\nHost: a\r\n\r\n$second").toByteArray())
+                // The monitor runs several times before the rest arrives, and after it.
+                TimeUnit.MILLISECONDS.sleep(400)
+                out.write(part.toByteArray())
+                out.write("GET /third HTTP/1.1\r\nHost: a\r\n\r\n".toByteArray())
+                TimeUnit.MILLISECONDS.sleep(400)
+                release.countDown()
+                expectThat(List(3) { caller.readAnswer() }).isEqualTo(listOf("/first ", "/second 1-$part", "/third "))
+            }
+        } finally {
+            release.countDown()
+            server.stop()
+        }
+    }
+
+    private fun Socket.readAnswer(): String {
+        val head = generateSequence { readLine() }.takeWhile { it.isNotEmpty() }.toList()
+        val length = head.first { it.startsWith("Content-Length", ignoreCase = true) }.substringAfter(':').trim().toInt()
+        return getInputStream().readNBytes(length).decodeToString()
+    }
+
     private companion object {
         const val WAIT_S = 20L
         const val BODY = "0123456789"
