Keep watching a caller that pipelines, and keep its bytes in order

Change: the monitor puts what it reads behind the bytes that the connection holds, up to 16 KiB, and goes on watching.

Tests: CallerMonitorTest, `a caller that has pipelined a request and leaves ...`, failed before.

--- a/node/src/main/kotlin/org/godwitwick/node/http/CallerMonitor.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/CallerMonitor.kt
@@ -2,6 +2,7 @@
 
 import io.undertow.server.HttpServerExchange
 import io.undertow.server.protocol.http.HttpServerConnection
+import io.undertow.util.ImmediatePooledByteBuffer
 import org.godwitwick.node.control.OnDemandTimer
 import java.io.IOException
 import java.nio.ByteBuffer
@@ -12,7 +13,7 @@
  *
  * Undertow does not read from a connection between the end of a request and the end of its answer, so it would notice a close
  * only at the next write, which may be seconds later. The monitor reads from watched connections periodically, on their I/O
- * threads, and returns bytes of a next request to the connection.
+ * threads, and keeps bytes of next requests at the connection.
  */
 class CallerMonitor(periodMs: Long = DEFAULT_PERIOD_MS) : AutoCloseable {
     private val watches = ConcurrentHashMap.newKeySet<ConnectionWatch>()
@@ -53,28 +54,29 @@
         fun check() {
             // Until the request is complete, bytes on the connection belong to its body.
             if (isEnded || !exchange.isRequestComplete || exchange.isResponseComplete) return
-            // The next request has arrived together with this one. What arrives from now on belongs behind it, but returned bytes
-            // would be put in front of it.
-            if (connection.extraBytes != null) return close()
             val buffer = ByteBuffer.allocate(PEEK_BYTES)
             val count = try {
                 connection.originalSourceConduit.read(buffer)
             } catch (_: IOException) {
                 END_OF_STREAM
             }
-            if (count > 0) pushBack(buffer)
+            if (count > 0) keep(buffer.flip())
             if (count == END_OF_STREAM) {
                 close()
                 action?.invoke()
             }
         }
 
-        // These bytes belong to the caller's next request. They are returned to the connection, and the watch ends.
-        private fun pushBack(read: ByteBuffer) {
-            val pooled = connection.byteBufferPool.allocate()
-            pooled.buffer.put(read.flip()).flip()
-            connection.ungetRequestBytes(pooled)
-            close()
+        // These bytes belong to the caller's next requests. The connection may hold some that arrived earlier, together with this
+        // request; it would put bytes that are returned to it in front of those.
+        private fun keep(read: ByteBuffer) {
+            val held = connection.extraBytes
+            val heldBytes = held?.buffer?.remaining() ?: 0
+            val all = ByteBuffer.allocate(heldBytes + read.remaining())
+            held?.use { all.put(it.buffer) }
+            all.put(read).flip()
+            connection.extraBytes = ImmediatePooledByteBuffer(all)
+            if (all.remaining() > MAX_KEPT_BYTES) close()
         }
     }
 
@@ -82,6 +84,9 @@
         /** Half of the time within which work for a disconnected caller must end, minus the time that ending it takes. */
         const val DEFAULT_PERIOD_MS = 150L
         const val PEEK_BYTES = 1_024
+
+        /** Bounds the memory for requests that a caller sends in advance; after that its disconnect is noticed at the next write. */
+        const val MAX_KEPT_BYTES = 16 * 1_024
         const val END_OF_STREAM = -1
     }
 }
--- a/node/src/test/kotlin/org/godwitwick/node/http/CallerMonitorTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/http/CallerMonitorTest.kt
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
 import java.io.InputStream
 import java.net.Socket
 import java.util.concurrent.CountDownLatch
@@ -100,6 +101,30 @@
         }
     }
 
+    // Guards against work that goes on for a caller that has sent its next request before it left.
+    @Test
+    fun `a caller that has pipelined a request and leaves is noticed during the answer to the first one`() {
+        val isNoticed = CountDownLatch(1)
+        val server = StreamingUndertow("127.0.0.1", 0, 4).toDisconnectAwareServer { _, caller ->
+            caller.onDisconnect { isNoticed.countDown() }
+            isNoticed.await(WAIT_S, TimeUnit.SECONDS)
+            Response(Status.OK).header("Content-Length", "0")
+        }
+        server.start()
+        try {
+            Socket("127.0.0.1", server.port()).use { caller ->
+                caller.getOutputStream().write("GET /first HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHo".toByteArray())
+                TimeUnit.MILLISECONDS.sleep(400)
+                caller.getOutputStream().write("st: a\r\n\r\n".toByteArray())
+                TimeUnit.MILLISECONDS.sleep(400)
+            }
+            expectThat(isNoticed.await(WAIT_S / 2, TimeUnit.SECONDS)).isTrue()
+        } finally {
+            isNoticed.countDown()
+            server.stop()
+        }
+    }
+
     private fun Socket.readAnswer(): String {
         val head = generateSequence { readLine() }.takeWhile { it.isNotEmpty() }.toList()
         val length = head.first { it.startsWith("Content-Length", ignoreCase = true) }.substringAfter(':').trim().toInt()
