--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -140,7 +140,7 @@
 
             outcome == RelayOutcome.UNABLE -> AttemptEnd.NotSent("the instance refused with ${head.status}")
 
-            outcome == RelayOutcome.SERVED && head.status in NOT_EXECUTED_STATUSES ->
+            outcome == RelayOutcome.SERVED && head.status in AnswerCheck.NOT_EXECUTED_STATUSES ->
                 AttemptEnd.Refused(head.status, head.retryAfterMs)
 
             else -> return RelayResult(open, outcome)
@@ -172,7 +172,7 @@
         val open = SendResult.Open(head, response, sent)
         // An answer that may belong to another request, of this upstream or of an earlier one at its address, states nothing.
         if (head.requestId == call.request.id && !head.isAmbiguous) onStatement(call.upstream, head.statement)
-        val fault = answerFaultOf(call, head)
+        val fault = AnswerCheck.faultOf(call, head)
         if (fault != null) {
             open.abort()
             open.close()
@@ -188,40 +188,14 @@
         dialect.decodeHead(response.code, withRetryAfter(response.headers, gate)).let { head ->
             head.copy(
                 headers = head.headers.filterNot { RelayHeaders.isOwn(it.first) },
-                isAmbiguous = head.isAmbiguous || containsAnotherHead(response),
+                isAmbiguous = head.isAmbiguous || AnswerCheck.containsAnotherHead(response),
             )
         }
 
-    // The upstream has stopped within a head and sent another one. OkHttp takes the second status line for a part of the first one or
-    // for a header without a name.
-    private fun containsAnotherHead(response: Response): Boolean =
-        STATUS_LINE_START in response.message || "" in response.headers.names()
-
     // The interceptor removes the header of a 503, because OkHttp would act on it.
     private fun withRetryAfter(headers: Headers, gate: WriteGate): Headers =
         gate.retryAfter?.let { headers.newBuilder().set("Retry-After", it).build() } ?: headers
 
-    private fun answerFaultOf(call: UpstreamCall, head: AnswerHead): String? = when {
-        // An additional answer on a kept connection may name no request.
-        head.requestId == null -> "the answer names no request"
-
-        head.requestId != call.request.id -> "the upstream answered another request"
-
-        head.isAmbiguous -> "the head of the answer contains another one"
-
-        head.isNotExecuted -> null
-
-        head.isEncoded -> "the answer has an encoding that was not asked for"
-
-        head.status in SUCCESS && !head.isSigned -> "the answer has no signature"
-
-        // To callers these statuses mean that the request was not executed, which the upstream has not stated.
-        head.status in NOT_EXECUTED_STATUSES ->
-            "the upstream answered ${head.status} without stating that it did not execute the request"
-
-        else -> null
-    }
-
     private fun endOf(e: IOException, gate: WriteGate, guard: RunGuard): AttemptEnd {
         val cause = guard.causeOf(e)
         if (!gate.mayBeWritten) return AttemptEnd.NotSent(cause)
@@ -254,11 +228,8 @@
         const val IDLE_TIMEOUT_MS = 4_000L
         val JSON_MEDIA_TYPE = "application/json".toMediaType()
         const val PLACEHOLDER_HOST = "127.0.0.1"
-        const val STATUS_LINE_START = "HTTP/1."
         const val ACCEPT_ENCODING = "Accept-Encoding"
         val METHODS_WITHOUT_BODY = setOf("GET", "HEAD")
-        val SUCCESS = 200..299
-        val NOT_EXECUTED_STATUSES = setOf(408, 421, 429, 503)
 
         fun newPool() = ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_TIMEOUT_MS, TimeUnit.MILLISECONDS)
 
