Do not check a pool that keeps no connection without a pause

Cause: the pool had a keep-alive time of 1 ns. While one of its connections is in use, OkHttp checks the pool again after that time. That a connection is closed after its call follows from the other parameter.

Change: one function makes such pools, with a keep-alive time of a minute.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -14,6 +14,7 @@
 import org.godwitwick.node.upstream.WriteGateInterceptor
 import org.godwitwick.node.upstream.noRetryClientBuilder
 import org.godwitwick.node.upstream.plainHttp
+import org.godwitwick.node.upstream.singleUsePool
 import java.io.IOException
 import java.util.concurrent.TimeUnit
 
@@ -59,12 +60,12 @@
         .connectionPool(newPool())
         .addNetworkInterceptor(WriteGateInterceptor)
         .build()
-    private val toPeersUnpooled = toPeers.newBuilder().connectionPool(noPool()).build()
+    private val toPeersUnpooled = toPeers.newBuilder().connectionPool(singleUsePool()).build()
 
     private val pooled = toPeers.newBuilder().connectionPool(newPool()).eventListener(ConnectObserver(onConnect)).build()
 
     // A pooled connection that the upstream has just closed could fail after the first byte was sent, with an unknown outcome.
-    private val unpooled = pooled.newBuilder().connectionPool(noPool()).build()
+    private val unpooled = pooled.newBuilder().connectionPool(singleUsePool()).build()
 
     /** Returns why [request] cannot be sent unchanged, or null if it can. */
     fun requestFaultOf(request: CallerRequest): String? {
@@ -232,7 +233,5 @@
         val METHODS_WITHOUT_BODY = setOf("GET", "HEAD")
 
         fun newPool() = ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_TIMEOUT_MS, TimeUnit.MILLISECONDS)
-
-        fun noPool() = ConnectionPool(0, 1, TimeUnit.NANOSECONDS)
     }
 }
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/NoRetryClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/NoRetryClient.kt
@@ -1,8 +1,10 @@
 package org.godwitwick.node.upstream
 
+import okhttp3.ConnectionPool
 import okhttp3.ConnectionSpec
 import okhttp3.OkHttpClient
 import okhttp3.Protocol
+import java.util.concurrent.TimeUnit
 
 /**
  * Returns a builder of clients that do not retry failed calls and do not follow redirects. With its defaults OkHttp repeats some
@@ -17,3 +19,9 @@
 /** Restricts the client to HTTP/1.1 without TLS, so that the trusted certificates are not loaded at start-up. */
 fun OkHttpClient.Builder.plainHttp(): OkHttpClient.Builder =
     protocols(listOf(Protocol.HTTP_1_1)).connectionSpecs(listOf(ConnectionSpec.CLEARTEXT))
+
+/**
+ * Returns a pool that keeps no connection: each is closed after its call. While a connection is in use, OkHttp checks the pool once
+ * in each keep-alive time, so that a short one would take a whole core.
+ */
+fun singleUsePool() = ConnectionPool(maxIdleConnections = 0, keepAliveDuration = 1, TimeUnit.MINUTES)
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/ServiceClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ServiceClient.kt
@@ -4,7 +4,6 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import okhttp3.Call
-import okhttp3.ConnectionPool
 import okhttp3.HttpUrl.Companion.toHttpUrl
 import okhttp3.OkHttpClient
 import okhttp3.Protocol
@@ -47,7 +46,7 @@
     // On an idle connection that the service has closed, a call would fail after its first byte, with an unknown outcome. There
     // is no read timeout, only the deadline, because the call cannot be retried elsewhere.
     private val unpooled = pooled.newBuilder()
-        .connectionPool(ConnectionPool(0, 1, TimeUnit.NANOSECONDS))
+        .connectionPool(singleUsePool())
         .readTimeout(0, TimeUnit.MILLISECONDS)
         .build()
 
