Read the reasons for unreadiness in one step

What callers saw: a probe of readiness could fail with an internal error at the moment at which an instance becomes ready.

Cause: Kotlin's toList() asks a collection for its size and, if that is one, for its first element; the only reason may be removed in between. No other concurrent collection is read this way (searched in all main sources).

--- a/node/src/main/kotlin/org/godwitwick/node/http/ReadinessGate.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/ReadinessGate.kt
@@ -12,7 +12,8 @@
     private val reasonsByCode = ConcurrentSkipListMap<String, UnreadyReason>()
 
     /** Current reasons, ordered by code. */
-    val reasons: List<UnreadyReason> get() = reasonsByCode.values.toList()
+    // toList() of Kotlin asks for the size first and fails if the only reason is removed before it is read.
+    val reasons: List<UnreadyReason> get() = ArrayList(reasonsByCode.values)
 
     /**
      * Makes the instance unready until [open] is called with the same [code]. A second call with a code replaces its detail.
