Stand-in engine: report the new incarnation once it answers

Cause: the stand-in listens on its address before the restart has stored the new process, so that a reader who has seen the new incarnation on the wire may still find none in the stand-in. A fault of the stand-in, not of the product.

Change: the incarnation is read under the lock that a restart holds. The test is unchanged.

--- a/standins/src/main/kotlin/org/godwitwick/standins/engine/FakeEngine.kt
+++ b/standins/src/main/kotlin/org/godwitwick/standins/engine/FakeEngine.kt
@@ -47,8 +47,8 @@
     /** `ip:port` of the stand-in; a restart does not change it. */
     val address: String = "127.0.0.1:$fixedPort"
 
-    /** Id of the current incarnation, new with every restart; null while the engine is dead. */
-    val incarnation: String? get() = process?.incarnation
+    /** Id of the current incarnation, new with every restart; null while the engine is dead. Waits for the end of a restart. */
+    val incarnation: String? get() = synchronized(this) { process?.incarnation }
 
     /** Tokens in the KV cache that cannot be evicted; 0 while the engine is dead. */
     val kvUsedTokens: Int get() = process?.kvUsedTokens ?: 0
