Log how the upstream states the end of each stream

Change: the line of a stream's end names the framing (AnswerFraming). After a resumption it is that of the last stream. The metric's outcome stays as it was.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -22,8 +22,8 @@
 sealed interface SendResult {
     /** The head of an answer has arrived; [close] ends the call. */
     class Open(val head: AnswerHead, val response: Response, private val call: Call) : SendResult {
-        /** Whether the answer states its own end, as opposed to ending with its connection or after a given length. */
-        val isChunked: Boolean get() = response.header("Transfer-Encoding").equals("chunked", ignoreCase = true)
+        /** How the upstream states the end of the body. */
+        val framing: AnswerFraming = AnswerFraming.of(response)
 
         /** Ends the call; its connection is reused only if the whole body was read. */
         fun close() = response.close()
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -54,6 +54,9 @@
     private var service: String? = null
     private val retries = RunRetries(context) { service.orEmpty() }
     private var eventGapTimeoutMs: Long? = null
+
+    // Of the last stream: after a resumption it is another one than at the start.
+    private var streamFraming: AnswerFraming? = null
     private var lastEventMs = 0L
     private var longestPauseMs = 0L
 
@@ -239,8 +242,11 @@
             val reader = EventReader(source)
             val first = reader.next()
             // Without an event and without the end of its chunks, the answer is no stream, or was cut off before its first event.
-            if (first == null && !open.isChunked) throw MalformedAnswerException("the stream has no event and no end")
+            if (first == null && open.framing != AnswerFraming.CHUNKS) {
+                throw MalformedAnswerException("the stream has no event and no end")
+            }
             progress?.onPrefillDone()
+            streamFraming = open.framing
             eventGapTimeoutMs = context.streamTimeouts.eventGapTimeoutMs(route, counts.mayHaveRun)
             guard.restartSilenceTimer(eventGapTimeoutMs, Clocks.steadyMs())
             Outcome.Stream(UpstreamStream(open.head, upstream, first, open, reader, endAttempt))
@@ -332,7 +338,7 @@
         firstByteMs = elapsedMs()
         val relay = EventRelay(stream, request.lastEventId, ::resume, ::onEventPassed) { cause ->
             if (cause == null) crashes.onStreamComplete()
-            recordEnd(stream.upstream, "stream ${cause?.let { "broken: $it" } ?: "complete"}")
+            recordEnd(stream.upstream, "stream ${cause?.let { "broken: $it" } ?: "complete: framed by ${streamFraming?.text}"}")
         }
         return Response(Status(stream.head.status, "")).headers(stream.head.headers).body(Body(relay))
     }
