Notice a caller that left before its request was read

Cause: the monitor of callers looks at a connection for the first time 150 ms after the request was read. A request that had waited unread at an instance that was just starting, whose caller had closed its connection meanwhile, was sent on first and cancelled afterwards.

Change: the connection is checked when the watch begins, once the body has been read, and a request whose caller is gone isn't placed. One read of a socket more for each request. A caller that closes its sending side only counts as gone, as it has after 150 ms before.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -88,6 +88,7 @@
 
     // Returns null if the request is to be placed again.
     private fun nextAttempt(lastEventId: Long?): Outcome? {
+        if (guard.cancelReason == CancelReason.CALLER_GONE) return Outcome.Failed(RunFailures.callerGone())
         val admitted = admit().getOrElse { return Outcome.Failed(it) }
         context.crashGuard.quarantinedTraitOf(request, body)?.let { return Outcome.Failed(RunFailures.quarantined(it)) }
         if (relay.mustRefuse) return Outcome.Failed(RunFailures.cutOff())
--- a/node/src/main/kotlin/org/godwitwick/node/http/CallerMonitor.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/CallerMonitor.kt
@@ -12,8 +12,8 @@
  * Detects callers that close their connection while their request is being answered.
  *
  * Undertow does not read from a connection between the end of a request and the end of its answer, so it would notice a close
- * only at the next write, which may be seconds later. The monitor reads from watched connections periodically, on their I/O
- * threads, and keeps bytes of next requests at the connection.
+ * only at the next write, which may be seconds later. The monitor reads from watched connections when a watch begins, and then
+ * periodically on their I/O threads, and keeps bytes of next requests at the connection.
  */
 class CallerMonitor(periodMs: Long = DEFAULT_PERIOD_MS) : AutoCloseable {
     private val watches = ConcurrentHashMap.newKeySet<ConnectionWatch>()
@@ -36,10 +36,13 @@
         private var action: (() -> Unit)? = null
         private var isEnded = false
 
+        // At an overloaded instance a request may have waited unread for so long that its caller has left already.
         @Synchronized
         override fun onDisconnect(action: () -> Unit) {
             if (isEnded) return
             this.action = action
+            check()
+            if (isEnded) return
             watches.add(this)
             timer.wake()
         }
--- a/node/src/main/kotlin/org/godwitwick/node/http/CallerWatch.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/CallerWatch.kt
@@ -8,7 +8,10 @@
 
 /** Watches the caller's connection during one exchange, until the watch is closed. */
 interface CallerWatch : AutoCloseable {
-    /** Registers [action], which runs at most once, on an I/O thread, when the caller closes its connection. */
+    /**
+     * Registers [action], which runs at most once when the caller closes its connection: on an I/O thread, or on the current thread
+     * before this call returns if the whole request has been read and the caller has left already.
+     */
     fun onDisconnect(action: () -> Unit)
 
     override fun close()
--- a/node/src/test/kotlin/org/godwitwick/node/http/CallerMonitorTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/http/CallerMonitorTest.kt
@@ -9,8 +9,10 @@
 import strikt.assertions.isTrue
 import java.io.InputStream
 import java.net.Socket
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 
 class CallerMonitorTest {
     private val release = CountDownLatch(1)
@@ -125,6 +127,40 @@
         }
     }
 
+    // Guards against work for callers whose request waited unread at an overloaded instance and who left meanwhile.
+    @Test
+    fun `a caller that left before its request was read is noticed before the request is handled`() {
+        val isBusy = CountDownLatch(1)
+        val seen = CompletableFuture<Boolean>()
+        val server = StreamingUndertow("127.0.0.1", 0, 1).toDisconnectAwareServer { request, caller ->
+            if (request.uri.path == "/busy") {
+                isBusy.countDown()
+                release.await(WAIT_S, TimeUnit.SECONDS)
+            } else {
+                val isGone = AtomicBoolean()
+                request.body.stream.readAllBytes()
+                caller.onDisconnect { isGone.set(true) }
+                seen.complete(isGone.get())
+            }
+            Response(Status.OK).header("Content-Length", "0")
+        }
+        server.start()
+        try {
+            Socket("127.0.0.1", server.port()).use { busy ->
+                busy.getOutputStream().write("GET /busy HTTP/1.1\r\nHost: a\r\n\r\n".toByteArray())
+                isBusy.await(WAIT_S, TimeUnit.SECONDS)
+                Socket("127.0.0.1", server.port()).use {
+                    it.getOutputStream().write("POST /left HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab".toByteArray())
+                }
+                release.countDown()
+                expectThat(seen.get(WAIT_S, TimeUnit.SECONDS)).isTrue()
+            }
+        } finally {
+            release.countDown()
+            server.stop()
+        }
+    }
+
     private fun Socket.readAnswer(): String {
         val head = generateSequence { readLine() }.takeWhile { it.isNotEmpty() }.toList()
         val length = head.first { it.startsWith("Content-Length", ignoreCase = true) }.substringAfter(':').trim().toInt()
