Test: a table of the ends of answers, by framing, caller and state of the instance

The table stands in docs/fault-matrix.md; FaultMatrixTest checks that it has a row for each end that the test plays.

--- a/lab/src/test/kotlin/org/godwitwick/lab/FaultMatrixTest.kt
+++ b/lab/src/test/kotlin/org/godwitwick/lab/FaultMatrixTest.kt
@@ -44,6 +44,15 @@
         expectThat(page.notProved.sorted()).isEqualTo(open.sorted())
     }
 
+    @Test
+    fun `the table of the ends of answers has a row for each end that its test plays`() {
+        val source = testSources().getValue("AnswerEndCell")
+        val played = source.substringAfter("enum class AnswerEnd {").substringBefore(";\n").lines()
+            .mapNotNull { END_LINE.matchEntire(it)?.groupValues?.get(1)?.lowercase()?.replace('_', ' ') }
+        expectThat(played.size).isGreaterThan(0)
+        expectThat(page.ends).isEqualTo(played)
+    }
+
     private fun testSources(): Map<String, String> = Files.walk(repositoryRoot()).use { paths ->
         paths.filter { it.extension == "kt" && it.toString().contains("src/test/kotlin") }
             .toList()
@@ -52,6 +61,7 @@
 
     private companion object {
         const val NOT_PROVED = "?"
+        val END_LINE = Regex(" {4}([A-Z_]+),")
 
         fun repositoryRoot(): Path = generateSequence(Path.of("").toAbsolutePath()) { it.parent }
             .first { Files.exists(it.resolve("docs/design.md")) }
@@ -85,6 +95,8 @@
         }
     }
 
+    val ends: List<String> = section("Ends of answers").filter { it.startsWith("|") }.drop(2).map { columns(it).first() }
+
     private fun section(title: String): List<String> =
         lines.dropWhile { it != "## $title" }.drop(1).takeWhile { !it.startsWith("## ") }
 
