Forward: don't deliver an answer as whole whose connection was reset while its request was written

Callers saw a part of an answer, or of a stream, that was framed as complete: an upstream that answers without a length and chunks before it has read the whole request, and whose connection is then reset, as by a process that ends with unread bytes.

Cause: OkHttp still reads the answer after a write of the request has failed. The failed write has consumed the socket's error, so that the read that follows the last byte reports a regular end, which is the end of such an answer.

A failed write is recorded in the gate of the call. With it, an answer whose end only the connection states counts as broken: it is repeated where that is allowed, and answered 502 otherwise. An answer with a length or chunks is still delivered, and so is a refusal, which is known from its head. An upstream that closes in order without reading the request can't be told from one that is reset, so its unframed answer is given up as well. The same check applies to answers of other instances.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ConnectObserver.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ConnectObserver.kt
@@ -1,8 +1,8 @@
 package org.godwitwick.node.forward
 
 import okhttp3.Call
-import okhttp3.EventListener
 import okhttp3.Protocol
+import org.godwitwick.node.upstream.WriteFailureListener
 import java.io.IOException
 import java.net.InetSocketAddress
 import java.net.Proxy
@@ -17,7 +17,7 @@
 }
 
 /** Passes the outcomes of an HTTP client's connection attempts on to [listener], except those that this instance cancelled. */
-internal class ConnectObserver(private val listener: ConnectListener) : EventListener() {
+internal class ConnectObserver(private val listener: ConnectListener) : WriteFailureListener() {
     override fun connectEnd(call: Call, inetSocketAddress: InetSocketAddress, proxy: Proxy, protocol: Protocol?) =
         listener.onConnected()
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -10,6 +10,7 @@
 import org.godwitwick.core.forward.AttemptEnd
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.node.upstream.OneShotBody
+import org.godwitwick.node.upstream.WriteFailureListener
 import org.godwitwick.node.upstream.WriteGate
 import org.godwitwick.node.upstream.WriteGateInterceptor
 import org.godwitwick.node.upstream.noRetryClientBuilder
@@ -59,6 +60,7 @@
         .writeTimeout(0, TimeUnit.MILLISECONDS)
         .connectionPool(newPool())
         .addNetworkInterceptor(WriteGateInterceptor)
+        .eventListener(WriteFailureListener())
         .build()
     private val toPeersUnpooled = toPeers.newBuilder().connectionPool(singleUsePool()).build()
 
@@ -144,7 +146,7 @@
             outcome == RelayOutcome.SERVED && head.status in AnswerCheck.NOT_EXECUTED_STATUSES ->
                 AttemptEnd.Refused(head.status, head.retryAfterMs)
 
-            else -> return RelayResult(open, outcome)
+            else -> brokenEndOf(response, gate)?.also { open.abort() } ?: return RelayResult(open, outcome)
         }
         open.close()
         return RelayResult(SendResult.Ended(end), outcome)
@@ -179,9 +181,20 @@
             open.close()
             return SendResult.Ended(AttemptEnd.Broken(fault))
         }
-        if (!head.isNotExecuted) return open
+        if (head.isNotExecuted) {
+            open.close()
+            return SendResult.Ended(AttemptEnd.Refused(head.status, head.retryAfterMs), head.faultyAddress)
+        }
+        val brokenEnd = brokenEndOf(response, gate) ?: return open
+        open.abort()
         open.close()
-        return SendResult.Ended(AttemptEnd.Refused(head.status, head.retryAfterMs), head.faultyAddress)
+        return SendResult.Ended(brokenEnd)
+    }
+
+    // Returns how the send has ended if the end of the answer will not be known, otherwise null.
+    private fun brokenEndOf(response: Response, gate: WriteGate): AttemptEnd? {
+        if (!gate.hasWriteFailed || AnswerCheck.statesItsEnd(response)) return null
+        return AttemptEnd.Broken("the connection was lost while the request was written", isConnectionLost = true)
     }
 
     // Only an instance itself states how a relayed request has ended.
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/WriteGate.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/WriteGate.kt
@@ -1,5 +1,7 @@
 package org.godwitwick.node.upstream
 
+import okhttp3.Call
+import okhttp3.EventListener
 import okhttp3.Interceptor
 import okhttp3.Response
 import java.io.IOException
@@ -16,6 +18,11 @@
     var mayBeWritten = false
         private set
 
+    /** Whether the writing of the call failed. The answer may have been read all the same. */
+    @Volatile
+    var hasWriteFailed = false
+        private set
+
     /** The value of the `Retry-After` header that was removed from a 503 answer, or null. */
     @Volatile
     var retryAfter: String? = null
@@ -26,6 +33,22 @@
         if (!beforeWrite()) throw IOException("the call was refused before it was written")
         mayBeWritten = true
     }
+
+    internal fun onWriteFailed() {
+        hasWriteFailed = true
+    }
+}
+
+/**
+ * Records failed writes in the [WriteGate] of their call.
+ *
+ * OkHttp still reads an answer after a write has failed. The failed write has consumed the error of a reset, so that the end of the
+ * answer looks as if the connection had been closed in order.
+ */
+open class WriteFailureListener : EventListener() {
+    override fun requestFailed(call: Call, ioe: IOException) {
+        call.request().tag(WriteGate::class.java)?.onWriteFailed()
+    }
 }
 
 /**
