Forward: reject answers with an unreadable length or an unknown transfer coding

Callers saw a part of an answer as a success. With a length that isn't a number, or a transfer coding other than chunks, OkHttp reads up to the end of the connection and takes that for the end of the answer. A negative length ended in an IllegalArgumentException, which was answered 500.

A network interceptor rejects such heads, before a body is created for them. The send counts as broken, like other bytes that are no answer.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -60,6 +60,7 @@
         .writeTimeout(0, TimeUnit.MILLISECONDS)
         .connectionPool(newPool())
         .addNetworkInterceptor(WriteGateInterceptor)
+        .addNetworkInterceptor(FramingInterceptor)
         .eventListener(WriteFailureListener())
         .build()
     private val toPeersUnpooled = toPeers.newBuilder().connectionPool(singleUsePool()).build()
@@ -213,7 +214,7 @@
     private fun endOf(e: IOException, gate: WriteGate, guard: RunGuard): AttemptEnd {
         val cause = guard.causeOf(e)
         if (!gate.mayBeWritten) return AttemptEnd.NotSent(cause)
-        return AttemptEnd.Broken(cause, isConnectionLost = guard.cancelReason == null)
+        return AttemptEnd.Broken(cause, isConnectionLost = guard.cancelReason == null && e !is MalformedAnswerException)
     }
 
     private fun requestOf(call: UpstreamCall, body: ByteArray, gate: WriteGate): Request =
