Answers to HTTP/1.0: end with a reset also when the process is killed

Callers that speak HTTP/1.0 saw a stream, or an answer of more than 1 MiB, as complete although the instance had been killed while it wrote: such an answer has neither a length nor chunks, so its end is the end of the connection, and the kernel ends the connections of a killed process regularly.

Cause: only an abort by the process itself made the close a reset.

Change: the connection is set to close with a reset before the first byte of a body that ends with it, and back to a regular close after the last byte has been handed to the kernel. Whatever happens in between, the answer ends with a reset. The option is set inside the block that closes the body, so that a connection that is already closed does not leave the upstream's answer open. Refusing streams to HTTP/1.0 was not needed, as a whole answer can be told from a broken one now.

Http10CallerTest runs an instance as a separate process. `an answer that is being written when the process is killed ends with a reset` failed before: "Expect that [REGULAR]" (expected RESET; all three streams and three large answers). The others passed before and after: the end of the grace period, and whole answers, also with bytes after the request, and one that is still unread when the process ends.

--- a/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
@@ -147,7 +147,8 @@
             // After the last byte of an answer with a known length the caller may send its next request, so the watch ends here.
             if (hasKnownEnd) caller.close()
             if (isClosing() || response.header("Connection") == "close") exchange.isPersistent = false
-            response.body.stream.use { body -> copyOrAbort(exchange, body, caller) }
+            val endsWithConnection = !hasKnownEnd && !exchange.isHttp11
+            response.body.stream.use { body -> copyOrAbort(exchange, body, caller, endsWithConnection) }
         }
 
         // Returns whether the end of the body is known from the head. On a connection that is not kept, Undertow would end any other
@@ -168,38 +169,41 @@
 
         // If the body fails midway, for whatever reason, the connection is closed without the last chunk, so that clients notice the
         // failure. Undertow would end the answer regularly after an unexpected exception.
-        private fun copyOrAbort(exchange: HttpServerExchange, body: InputStream, caller: CallerWatch) {
+        private fun copyOrAbort(
+            exchange: HttpServerExchange,
+            body: InputStream,
+            caller: CallerWatch,
+            endsWithConnection: Boolean,
+        ) {
             var isComplete = false
             try {
-                copyFlushing(exchange, body, caller)
+                // Without chunks only a reset can be told from the end of the body, also if the kernel closes the connection because
+                // the process was killed.
+                if (endsWithConnection) exchange.connection.setOption(Options.CLOSE_ABORT, true)
+                copyFlushing(exchange, body)
+                // The caller may send its next request as soon as it has received the last byte.
+                caller.close()
+                if (endsWithConnection) exchange.connection.setOption(Options.CLOSE_ABORT, false)
+                watchdog.runWithTimeout { exchange.outputStream.close() }
                 isComplete = true
             } catch (e: IOException) {
                 log.debug("http: response aborted: {}", e.message)
             } finally {
-                if (!isComplete) abort(exchange)
+                if (!isComplete) exchange.connection.close()
             }
         }
 
-        // Without chunks only a reset can be told from the end of the body.
-        private fun abort(exchange: HttpServerExchange) {
-            if (!exchange.isHttp11) exchange.connection.setOption(Options.CLOSE_ABORT, true)
-            exchange.connection.close()
-        }
-
-        private fun copyFlushing(exchange: HttpServerExchange, body: InputStream, caller: CallerWatch) {
+        private fun copyFlushing(exchange: HttpServerExchange, body: InputStream) {
             val out = exchange.outputStream
             val buffer = ByteArray(COPY_BUFFER_BYTES)
             while (true) {
                 val count = body.read(buffer)
-                if (count < 0) break
+                if (count < 0) return
                 watchdog.runWithTimeout {
                     out.write(buffer, 0, count)
                     out.flush()
                 }
             }
-            // The caller may send its next request as soon as it has received the last byte.
-            caller.close()
-            watchdog.runWithTimeout { out.close() }
         }
     }
 
