CutAnswerTest: no heap midway, answers shorter than their length, whole answers to HTTP/1.0

Callers must see an answer as broken off whose body fails with OutOfMemoryError after its first part, in chunks, with a length and to HTTP/1.0, and the server must go on; an answer that is shorter than its length must not look complete either. The counterpart: a whole answer to HTTP/1.0 ends regularly with all of its bytes if its caller reads late, has sent more or has half-closed its side.

An answer without a head no longer counts as complete in the test: a caller cannot take a connection that ends without one for an answer.

--- a/node/src/test/kotlin/org/godwitwick/node/http/CutAnswerTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/http/CutAnswerTest.kt
@@ -7,11 +7,16 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
+import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
+import strikt.assertions.isTrue
 import java.io.IOException
 import java.io.InputStream
+import java.io.SequenceInputStream
 import java.net.Socket
 import java.net.SocketException
+import java.util.concurrent.CountDownLatch
 
 /** Answers whose body fails midway, on kept connections and on those that end with the answer. */
 class CutAnswerTest {
@@ -29,6 +34,23 @@
         }
     }
 
+    /** One byte, and nothing else before [end]. */
+    private class WaitingBody(private val end: CountDownLatch) : InputStream() {
+        private var isRead = false
+
+        override fun read(): Int = error("only reads into an array are supported")
+
+        override fun read(target: ByteArray, offset: Int, length: Int): Int {
+            if (isRead) {
+                end.await()
+                return -1
+            }
+            isRead = true
+            target[offset] = 'x'.code.toByte()
+            return 1
+        }
+    }
+
     private var server: AutoCloseable? = null
 
     @AfterEach
@@ -48,18 +70,26 @@
     private class Received(val text: String, val isReset: Boolean) {
         val head = text.substringBefore("\r\n\r\n").lowercase()
 
-        // Without chunks or a length, an answer ends with its connection, so that a regular end makes it complete.
+        // Without chunks or a length, an answer ends with its connection, so that a regular end makes it complete if it has a head.
         val looksComplete: Boolean
             get() = when {
+                "\r\n\r\n" !in text -> false
                 "transfer-encoding: chunked" in head -> text.endsWith("0\r\n\r\n")
-                "content-length" in head -> false
+                "content-length: " in head -> text.substringAfter("\r\n\r\n").length >= lengthIn(head)
                 else -> !isReset
             }
+
+        private fun lengthIn(head: String) = head.substringAfter("content-length: ").substringBefore("\r\n").toInt()
     }
 
-    private fun receive(port: Int, request: String): Received = Socket("127.0.0.1", port).use { socket ->
+    private fun receive(port: Int, request: String): Received = open(port, request).use(::receive)
+
+    private fun open(port: Int, request: String) = Socket("127.0.0.1", port).also { socket ->
         socket.soTimeout = TIMEOUT_MS
         socket.getOutputStream().write(request.toByteArray())
+    }
+
+    private fun receive(socket: Socket): Received {
         val text = StringBuilder()
         val buffer = ByteArray(1_024)
         try {
@@ -68,9 +98,9 @@
                 if (count < 0) break
                 text.append(buffer.decodeToString(0, count))
             }
-            Received(text.toString(), isReset = false)
+            return Received(text.toString(), isReset = false)
         } catch (_: SocketException) {
-            Received(text.toString(), isReset = true)
+            return Received(text.toString(), isReset = true)
         }
     }
 
@@ -112,8 +142,71 @@
         expectThat(receive(start { failing("text/plain") }, "GET / HTTP/1.0\r\n\r\n").looksComplete).isFalse()
     }
 
+    // Guards against a regular end after an error that Undertow handles, and against a worker thread that is lost with it.
+    @Test
+    fun `an answer that fails because the heap is full does not look complete, and the server goes on`() {
+        for (length in listOf(null, PART_BYTES * 2L)) {
+            for (request in listOf(REQUEST, HTTP10_REQUEST, HTTP10_KEPT_REQUEST)) {
+                var isFailing = true
+                val port = start {
+                    val body = if (isFailing) FailingBody { OutOfMemoryError("test") } else "whole".byteInputStream()
+                    Response(Status.OK).body(Body(body, length.takeIf { isFailing }))
+                }
+                repeat(REPEATS) {
+                    val received = receive(port, request)
+                    expectThat(received.head).contains("200")
+                    expectThat(received.looksComplete).isFalse()
+                }
+                isFailing = false
+                expectThat(receive(port, HTTP10_REQUEST).looksComplete).isTrue()
+                close()
+            }
+        }
+    }
+
+    // Guards against an answer that ends before the length in its head, followed by the next answer on the same connection.
+    @Test
+    fun `an answer that is shorter than its length does not look complete`() {
+        for (request in listOf(REQUEST + REQUEST, HTTP10_REQUEST, HTTP10_KEPT_REQUEST)) {
+            val port = start { Response(Status.OK).body(Body("part".byteInputStream(), PART_BYTES * 2L)) }
+            val received = receive(port, request)
+            expectThat(received.looksComplete).isFalse()
+            expectThat(Regex("HTTP/1.. 200").findAll(received.text).count()).isLessThan(2)
+            close()
+        }
+    }
+
+    // Guards against a reset that discards the unsent end of a whole answer.
+    @Test
+    fun `a whole answer to HTTP 1_0 arrives completely although its caller reads late, has sent more or has half-closed`() {
+        for (more in listOf("", "\r\n", HTTP10_REQUEST)) {
+            for (isHalfClosed in listOf(false, true)) {
+                val end = CountDownLatch(1)
+                val port = start {
+                    Response(Status.OK).body(Body(SequenceInputStream(WaitingBody(end), ByteArray(LARGE_BYTES).inputStream())))
+                }
+                open(port, HTTP10_REQUEST + more).use { socket ->
+                    expectThat(socket.getInputStream().read()).isEqualTo('H'.code)
+                    if (isHalfClosed) socket.shutdownOutput()
+                    end.countDown()
+                    Thread.sleep(PAUSE_MS)
+                    val received = receive(socket)
+                    expectThat(received.isReset).isFalse()
+                    expectThat(received.text.substringAfter("\r\n\r\n").length).isEqualTo(LARGE_BYTES + 1)
+                }
+                close()
+            }
+        }
+    }
+
     private companion object {
         const val TIMEOUT_MS = 10_000
         const val REQUEST = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+        const val HTTP10_REQUEST = "GET / HTTP/1.0\r\n\r\n"
+        const val HTTP10_KEPT_REQUEST = "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"
+        const val PART_BYTES = 4
+        const val REPEATS = 8
+        const val PAUSE_MS = 100L
+        const val LARGE_BYTES = 1_500_000
     }
 }
