Bodies of callers are bounded as a sum over the process

What callers saw: 80 prompts of 4 MiB at once ran out the heap of 144 MB of an instance; requests beside them were answered with 500.

Cause: each body was bounded by itself (max-body-bytes), but not their sum. Each was also held several times: reading it joined its parts into a second array, and OkHttp's sink copied the whole body once more before it sent it.

Change: a budget of three tenths of the heap, from which a request reserves its Content-Length before its body is read. A body without a length reserves as it grows, twice its size because its parts are joined. Beyond the budget the request is refused with 503 overloaded; it has not been sent anywhere. An eighth of the budget is left to bodies of up to 64 KiB. The share is released when the server closes the body of the answer. A body with a length is read into its final array, and OneShotBody passes it on in parts of 16 KiB. Metrics show the limit, the use and the refusals; a log line reports refusals at most once in 5 s.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
@@ -2,6 +2,7 @@
 
 import org.godwitwick.core.forward.ForwardAdmission
 import org.godwitwick.core.forward.StreamTimeoutRule
+import org.godwitwick.node.memory.BodyMemory
 import kotlin.random.Random
 
 /**
@@ -27,4 +28,5 @@
     val random: Random,
     val relay: Relay,
     val onLongPromptPlaced: () -> Unit,
+    val bodyMemory: BodyMemory,
 )
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
@@ -10,6 +10,9 @@
 import org.godwitwick.core.model.Deadline
 import org.godwitwick.node.http.CallerWatch
 import org.godwitwick.node.http.StreamingUndertow
+import org.godwitwick.node.memory.BodyShare
+import org.godwitwick.node.memory.ClosingInputStream
+import org.http4k.core.Body
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.slf4j.LoggerFactory
@@ -36,17 +39,37 @@
         return RelayHeaders.withOutcome(answer(relayed, request, caller), RelayOutcome.SERVED)
     }
 
-    private fun answer(decoded: CallerRequest, request: Request, caller: CallerWatch): Response =
-        forwardDecoded(decoded, request, caller).getOrElse { failure ->
+    private fun answer(decoded: CallerRequest, request: Request, caller: CallerWatch): Response = holdingMemory { share ->
+        forwardDecoded(decoded, request, caller, share).getOrElse { failure ->
             val response = refuse(failure, decoded.id)
             if (decoded.hop == null) response else RelayHeaders.withOutcome(response, outcomeOf(failure))
         }
+    }
+
+    // The share is released when the server closes the body of the answer.
+    private fun holdingMemory(serve: (BodyShare) -> Response): Response {
+        val share = context.bodyMemory.open()
+        var isServed = false
+        try {
+            val response = serve(share)
+            isServed = true
+            val body = ClosingInputStream(response.body.stream, share::close)
+            return response.body(Body(body, response.body.length))
+        } finally {
+            if (!isServed) share.close()
+        }
+    }
 
     // Before a request is placed, only this instance can be overloaded.
     private fun outcomeOf(failure: Failure): RelayOutcome =
         if (failure.kind == ErrorKind.OVERLOADED) RelayOutcome.UNABLE else RelayOutcome.of(failure, wasSent = false)
 
-    private fun forwardDecoded(decoded: CallerRequest, request: Request, caller: CallerWatch): Result<Response, Failure> {
+    private fun forwardDecoded(
+        decoded: CallerRequest,
+        request: Request,
+        caller: CallerWatch,
+        share: BodyShare,
+    ): Result<Response, Failure> {
         refusal()?.let { return Err(it.copy(retryAfterMs = 0)) }
         val isFull =
             runWatch.count >= maxInFlight || (decoded.hop != null && runWatch.relayedCount >= maxInFlight / MAX_RELAYED_DIVISOR)
@@ -57,7 +80,8 @@
         val arrivedMs = arrivalOf(request)
         val timeoutMs = minOf(decoded.timeoutMs ?: admitted.route.timeoutMs, admitted.route.timeoutMs)
         val limitBytes = context.fleetView.routing.table?.config?.limits?.maxBodyBytes ?: DEFAULT_MAX_BODY_BYTES
-        val body = readBody(request, limitBytes).getOrElse { return Err(it) }
+        val largestBytes = minOf(limitBytes.toLong(), context.bodyMemory.largestBytes).toInt()
+        val body = readBody(request, largestBytes, share).getOrElse { return Err(it) }
         val guard = RunGuard(arrivedMs + timeoutMs)
         onDeadline(Deadline(guard.deadlineMs))
         caller.onDisconnect(guard::onCallerDisconnect)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -14,6 +14,7 @@
 import org.godwitwick.node.http.InFlightExchanges
 import org.godwitwick.node.http.ReadinessGate
 import org.godwitwick.node.http.StreamingUndertow
+import org.godwitwick.node.memory.BodyMemory
 import org.godwitwick.node.metrics.NodeMetrics
 import org.http4k.core.Request
 import org.http4k.core.Response
@@ -91,6 +92,7 @@
         random = Random.Default,
         relay = relay,
         onLongPromptPlaced = peers::sendLoadSoon,
+        bodyMemory = BodyMemory(settings.bodyMemoryBytes, Clocks::steadyMs).also { it.register(metrics.registry) },
     )
     private val configFollower =
         follower(CONFIG_FEED, configFeed, FeedPacings.ofConfig(settings.revocationMs, settings.applyMs), fleetView.configListener)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardSettings.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardSettings.kt
@@ -1,5 +1,7 @@
 package org.godwitwick.node.forward
 
+import org.godwitwick.node.memory.bodyMemoryBytes
+
 /**
  * Settings of a [ForwardNode].
  *
@@ -18,6 +20,7 @@
  * @property maxHoldMs maximum duration of a reservation that is not extended.
  * @property freeMs time within which abandoned reservations must be free again.
  * @property graceMs time between the stop signal and the forced termination.
+ * @property bodyMemoryBytes memory that the bodies of requests and of buffered answers may use at once.
  */
 data class ForwardSettings(
     val instanceName: String,
@@ -40,4 +43,5 @@
     val maxHoldMs: Long,
     val freeMs: Long,
     val graceMs: Long,
+    val bodyMemoryBytes: Long = bodyMemoryBytes(),
 )
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/OneShotBody.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/OneShotBody.kt
@@ -16,6 +16,11 @@
     override fun isOneShot(): Boolean = true
 
     override fun writeTo(sink: BufferedSink) {
-        sink.write(content)
+        // The sink copies what it is given, so a large body is passed on in parts.
+        for (start in content.indices step PART_BYTES) sink.write(content, start, minOf(PART_BYTES, content.size - start))
+    }
+
+    private companion object {
+        const val PART_BYTES = 16 * 1024
     }
 }
