Buffered answers share the memory for bodies

What callers saw: answers of just under 1 MiB at 140 requests at a time ran out the heap of an instance; requests were answered with 500.

Cause: each answer is buffered up to 1 MiB, so that it can be replaced if its upstream fails, and was copied once more before it was passed on. The sum had no bound.

Change: the buffer of an answer grows within the share of its request. Without memory the answer is passed on as it arrives, as one of more than 1 MiB is; it can't be repeated then, and is visibly cut off if its upstream fails. The buffer itself is passed on, without a copy. A large answer gives back memory as its buffer empties.

LargeBodiesTest, "answers that are just small enough to be buffered", before: "Expect that {"200, 1048575 bytes"=133, "500, 0 bytes"=7}". After: all 140 arrive whole, as do the streams beside them, and the memory in use is 0 again.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
@@ -87,7 +87,7 @@
         caller.onDisconnect(guard::onCallerDisconnect)
         runWatch.add(guard, isRelayed = decoded.hop != null)
         return try {
-            Ok(ForwardRun(context, decoded, body, arrivedMs, guard) { runWatch.remove(guard) }.answer())
+            Ok(ForwardRun(context, decoded, body, arrivedMs, guard, share) { runWatch.remove(guard) }.answer())
         } catch (e: RuntimeException) {
             // A programming error; if the guard were not removed, the request would count as in flight permanently.
             runWatch.remove(guard)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -2,6 +2,8 @@
 
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.map
+import okio.Buffer
+import okio.BufferedSource
 import org.godwitwick.core.error.Failure
 import org.godwitwick.core.forward.AdmittedTarget
 import org.godwitwick.core.forward.AttemptEnd
@@ -19,6 +21,7 @@
 import org.godwitwick.core.forward.failureOf
 import org.godwitwick.core.forward.nextStep
 import org.godwitwick.core.forward.urgencyOf
+import org.godwitwick.node.memory.BodyShare
 import org.http4k.core.Body
 import org.http4k.core.Response
 import org.http4k.core.Status
@@ -31,6 +34,7 @@
  * thread.
  *
  * @param arrivedMs monotonic time of the request's arrival.
+ * @param share memory of this request; it holds [body] already.
  * @param onEnd called when the answer was forwarded completely or has been abandoned.
  */
 class ForwardRun(
@@ -39,6 +43,7 @@
     private val body: ByteArray,
     private val arrivedMs: Long,
     private val guard: RunGuard,
+    private val share: BodyShare,
     private val onEnd: () -> Unit,
 ) {
     private val placer = RequestPlacer(context, request)
@@ -62,7 +67,7 @@
         class Stream(val stream: UpstreamStream) : Outcome
 
         /** An answer that is not a stream: [body] holds all of it, unless [largeBody] is set. */
-        class Single(val head: AnswerHead, val body: ByteArray, val largeBody: InputStream?, val upstream: UpstreamEntry) :
+        class Single(val head: AnswerHead, val body: Buffer, val largeBody: InputStream?, val upstream: UpstreamEntry) :
             Outcome
 
         class Failed(val failure: Failure) : Outcome
@@ -244,20 +249,16 @@
             eventGapTimeoutMs = context.streamTimeouts.eventGapTimeoutMs(route, counts.mayHaveRun)
             guard.restartSilenceTimer(eventGapTimeoutMs, Clocks.steadyMs())
             Outcome.Stream(UpstreamStream(open.head, upstream, first, open, reader, endAttempt))
-        } else if (source.request(MAX_BUFFERED_BYTES + 1)) {
-            Outcome.Single(
-                open.head,
-                ByteArray(0),
-                LargeBody(open) {
-                    endAttempt()
-                    onEnd()
-                },
-                upstream,
-            )
-        } else {
-            val bytes = source.readByteArray()
+        } else if (buffersWhole(source)) {
+            val body = Buffer().apply { writeAll(source) }
             open.close()
-            Outcome.Single(open.head, bytes, null, upstream)
+            Outcome.Single(open.head, body, null, upstream)
+        } else {
+            val largeBody = LargeBody(open, { share.resize(body.size + it) }) {
+                endAttempt()
+                onEnd()
+            }
+            Outcome.Single(open.head, Buffer(), largeBody, upstream)
         }
     } catch (e: IOException) {
         lastEnd = brokenBy(e)
@@ -266,6 +267,17 @@
         null
     }
 
+    // Reads the answer into the buffer of [source]. Returns false if it is too large for that, or if there is too little memory.
+    private fun buffersWhole(source: BufferedSource): Boolean {
+        // An answer to an earlier attempt is dropped.
+        share.resize(body.size.toLong())
+        while (true) {
+            val wantedBytes = source.buffer.size + BUFFER_STEP_BYTES
+            if (source.buffer.size > MAX_BUFFERED_BYTES || !share.resize(body.size + wantedBytes)) return false
+            if (!source.request(wantedBytes)) return true
+        }
+    }
+
     private fun onAnswerRead(route: ForwardRoute, upstream: UpstreamEntry?, outcome: Outcome.Single?): Outcome? {
         if (outcome == null) return decideNext(route, upstream, lastEnd ?: AttemptEnd.Broken("no answer"), null)
         if (outcome.largeBody != null) return outcome
@@ -408,6 +420,7 @@
         const val OK = 200
         const val SERVER_ERROR = 500
         const val MAX_BUFFERED_BYTES = 1L shl 20
+        const val BUFFER_STEP_BYTES = 32L * 1024
 
         /** With less time left a send would not be answered in time. */
         const val MIN_SEND_MS = 20L
--- a/node/src/main/kotlin/org/godwitwick/node/forward/LargeBody.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/LargeBody.kt
@@ -2,13 +2,21 @@
 
 import java.io.InputStream
 
-/** The body of an answer that is too large to be buffered and is forwarded as it arrives. [onClose] is called when it is closed. */
-class LargeBody(private val open: SendResult.Open, private val onClose: () -> Unit) : InputStream() {
-    private val input = open.response.body.byteStream()
+/**
+ * The body of an answer that is not buffered as a whole and is forwarded as it arrives.
+ *
+ * @param onRead called after each read with the number of bytes that are still buffered.
+ * @param onClose called when the body is closed.
+ */
+class LargeBody(private val open: SendResult.Open, private val onRead: (Long) -> Unit, private val onClose: () -> Unit) :
+    InputStream() {
+    private val source = open.response.body.source()
+    private val input = source.inputStream()
 
-    override fun read(): Int = input.read()
+    override fun read(): Int = input.read().also { onRead(source.buffer.size) }
 
-    override fun read(target: ByteArray, offset: Int, length: Int): Int = input.read(target, offset, length)
+    override fun read(target: ByteArray, offset: Int, length: Int): Int =
+        input.read(target, offset, length).also { onRead(source.buffer.size) }
 
     override fun close() {
         open.close()
