The own path shares the memory for bodies

What callers saw: 24 answers of a plain service of just under 16 MiB, or without end, ran out the heap of an entry instance (128 MB); requests were answered with 500.

Cause: bodies of callers and answers of services were bounded by 16 MiB each, their sum by nothing. Answers were held twice, in the buffer and as an array.

Change: prompts, bodies of calls and answers of services reserve their memory from one budget, the new setting bodyMemoryFraction of the heap. A request beyond it is refused with overloaded before its body is read. A call reserves 64 KiB for its answer before it is sent, as it can't be refused afterwards; an answer that does not fit ends with upstream_failed and ran = yes. An answer with a length is read into its final array, and a call is sent in parts. A body that breaks off is now answered with 400 and no longer ends the exchange with an exception.

LargeAnswersTest, before: "Expect that {500=18, 0=1}: is empty" for answers with a length and "Expect that {500=15}: is empty" for those without end. After: each call is answered with 200 or 502, and the streams beside them are whole.

--- a/lab/src/main/kotlin/org/godwitwick/lab/process/SmallFleet.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/process/SmallFleet.kt
@@ -17,12 +17,14 @@
  * @property stallTimeoutMs setting of the entry instances; an engine that sends nothing during prefill must finish the prefill
  * within this time.
  * @property services settings of the plain services.
+ * @property otherRows rows of the instance list for upstreams that the fleet does not start.
  * @property newObserver creates an observer of what an engine sends on a connection; see [TcpForwarder].
  */
 class SmallFleet(
     specs: List<EngineStandin>,
     private val stallTimeoutMs: Long = 10_000,
     private val services: List<ServiceStandin> = emptyList(),
+    private val otherRows: List<JsonObject> = emptyList(),
     private val newObserver: () -> ((String, Long) -> Unit) = { { _, _ -> } },
 ) : AutoCloseable {
     private val fleet = ProcessFleet()
@@ -48,7 +50,9 @@
             val engineRows = specs.zip(forwarders) { spec, it ->
                 listRow("engine", spec.id, spec.model, it.address, spec.location)
             }
-            upstreams = engineRows + services.map { listRow("service", it.id, it.service, platform.getValue(it.id), it.location) }
+            upstreams =
+                engineRows + services.map { listRow("service", it.id, it.service, platform.getValue(it.id), it.location) } +
+                otherRows
             fleet.publishList(list, upstreams)
         } catch (e: IllegalStateException) {
             close()
--- a/node/src/main/kotlin/org/godwitwick/node/claim/AtMostOnceCaller.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/claim/AtMostOnceCaller.kt
@@ -156,16 +156,21 @@
         query,
         headers + (name to value),
         body,
+        share,
     )
 
     private companion object {
         const val REPLAYED_HEADER = "Idempotency-Replayed"
         val RECORDED_HEADERS = setOf("content-type", "location")
         val answerTooLarge =
-            Failure(ErrorKind.UPSTREAM_FAILED, "the call ran, but its answer is larger than the limit", Executed.YES)
+            Failure(
+                ErrorKind.UPSTREAM_FAILED,
+                "the call ran, but its answer is larger than the limit or than the free memory",
+                Executed.YES,
+            )
         val answerNotRecorded = Failure(
             ErrorKind.CONFLICT,
-            "a call with this key ran; its answer was larger than $MAX_RECORDED_BODY_BYTES bytes and was not recorded",
+            "a call with this key ran; its answer was too large to be recorded",
             Executed.YES,
         )
     }
--- a/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/entry/EntryNode.kt
@@ -14,6 +14,8 @@
 import org.godwitwick.node.http.OperationRoutes
 import org.godwitwick.node.http.ReadinessGate
 import org.godwitwick.node.http.StreamingUndertow
+import org.godwitwick.node.memory.BodyMemory
+import org.godwitwick.node.memory.bodyMemoryBytes
 import org.godwitwick.node.metrics.NodeMetrics
 import org.godwitwick.node.peer.Peer
 import org.godwitwick.node.platform.HttpInstanceList
@@ -78,6 +80,8 @@
         config.peers.rows,
         config.peers::members,
     )
+    private val bodyMemory =
+        BodyMemory(bodyMemoryBytes(settings.bodyMemoryFraction), System::currentTimeMillis).also { it.register(metrics.registry) }
     private val newWork = NewWorkGuard(drain, config::freshness)
     private val callers = CallerRoutes(
         keys = keys,
@@ -87,6 +91,7 @@
         metrics = metrics,
         refusal = newWork::refusal,
         onDeadline = inFlight::extendDeadline,
+        bodyMemory = bodyMemory,
     )
     private val services = ServiceComponents(
         settings,
@@ -96,6 +101,7 @@
         config = config::view,
         listed = listPoller::instances,
         nowMs = System::currentTimeMillis,
+        bodyMemory = bodyMemory,
         log = records,
         registry = metrics.registry,
     )
--- a/node/src/main/kotlin/org/godwitwick/node/entry/ServiceComponents.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/entry/ServiceComponents.kt
@@ -13,6 +13,7 @@
 import org.godwitwick.node.claim.ClaimSettings
 import org.godwitwick.node.http.ServiceRouteTable
 import org.godwitwick.node.http.ServiceRoutes
+import org.godwitwick.node.memory.BodyMemory
 import org.godwitwick.node.peer.PeerNetwork
 import org.godwitwick.node.platform.HttpPlatformLog
 import org.godwitwick.node.platform.PlatformLog
@@ -31,6 +32,7 @@
     config: () -> ConfigView,
     listed: () -> List<ListedInstance>,
     nowMs: () -> Long,
+    bodyMemory: BodyMemory,
     log: PlatformLog = HttpPlatformLog(client, settings.logUrl),
     claimSettings: ClaimSettings = ClaimSettings(),
     registry: PrometheusRegistry = PrometheusRegistry(),
@@ -53,7 +55,7 @@
     )
     private val serviceClient = ServiceClient(client)
     private val once = AtMostOnceCaller(self, claims, serviceClient, claimSettings, metrics, nowMs)
-    private val serviceRoutes = ServiceRoutes(keys, config, table, replicas, serviceClient, once, nowMs)
+    private val serviceRoutes = ServiceRoutes(keys, config, table, replicas, serviceClient, once, nowMs, bodyMemory = bodyMemory)
 
     init {
         metrics.publishCrossedAnswers(serviceClient::crossedAnswers)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
@@ -11,8 +11,7 @@
 import org.godwitwick.node.http.CallerWatch
 import org.godwitwick.node.http.StreamingUndertow
 import org.godwitwick.node.memory.BodyShare
-import org.godwitwick.node.memory.ClosingInputStream
-import org.http4k.core.Body
+import org.godwitwick.node.memory.readBody
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.slf4j.LoggerFactory
@@ -39,26 +38,13 @@
         return RelayHeaders.withOutcome(answer(relayed, request, caller), RelayOutcome.SERVED)
     }
 
-    private fun answer(decoded: CallerRequest, request: Request, caller: CallerWatch): Response = holdingMemory { share ->
-        forwardDecoded(decoded, request, caller, share).getOrElse { failure ->
-            val response = refuse(failure, decoded.id)
-            if (decoded.hop == null) response else RelayHeaders.withOutcome(response, outcomeOf(failure))
+    private fun answer(decoded: CallerRequest, request: Request, caller: CallerWatch): Response =
+        context.bodyMemory.holding { share ->
+            forwardDecoded(decoded, request, caller, share).getOrElse { failure ->
+                val response = refuse(failure, decoded.id)
+                if (decoded.hop == null) response else RelayHeaders.withOutcome(response, outcomeOf(failure))
+            }
         }
-    }
-
-    // The share is released when the server closes the body of the answer.
-    private fun holdingMemory(serve: (BodyShare) -> Response): Response {
-        val share = context.bodyMemory.open()
-        var isServed = false
-        try {
-            val response = serve(share)
-            isServed = true
-            val body = ClosingInputStream(response.body.stream, share::close)
-            return response.body(Body(body, response.body.length))
-        } finally {
-            if (!isServed) share.close()
-        }
-    }
 
     // Before a request is placed, only this instance can be overloaded.
     private fun outcomeOf(failure: Failure): RelayOutcome =
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -22,6 +22,7 @@
 import org.godwitwick.core.forward.nextStep
 import org.godwitwick.core.forward.urgencyOf
 import org.godwitwick.node.memory.BodyShare
+import org.godwitwick.node.memory.buffersWhole
 import org.http4k.core.Body
 import org.http4k.core.Response
 import org.http4k.core.Status
@@ -267,15 +268,10 @@
         null
     }
 
-    // Reads the answer into the buffer of [source]. Returns false if it is too large for that, or if there is too little memory.
     private fun buffersWhole(source: BufferedSource): Boolean {
         // An answer to an earlier attempt is dropped.
         share.resize(body.size.toLong())
-        while (true) {
-            val wantedBytes = source.buffer.size + BUFFER_STEP_BYTES
-            if (source.buffer.size > MAX_BUFFERED_BYTES || !share.resize(body.size + wantedBytes)) return false
-            if (!source.request(wantedBytes)) return true
-        }
+        return source.buffersWhole(MAX_BUFFERED_BYTES, share, body.size.toLong())
     }
 
     private fun onAnswerRead(route: ForwardRoute, upstream: UpstreamEntry?, outcome: Outcome.Single?): Outcome? {
@@ -420,7 +416,6 @@
         const val OK = 200
         const val SERVER_ERROR = 500
         const val MAX_BUFFERED_BYTES = 1L shl 20
-        const val BUFFER_STEP_BYTES = 32L * 1024
 
         /** With less time left a send would not be answered in time. */
         const val MIN_SEND_MS = 20L
--- a/node/src/main/kotlin/org/godwitwick/node/http/CallerRoutes.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/CallerRoutes.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
 import kotlinx.serialization.json.Json
 import org.godwitwick.core.admission.AdmissionConfig
 import org.godwitwick.core.config.ConfigField
@@ -13,6 +14,11 @@
 import org.godwitwick.core.model.GenerateRequest
 import org.godwitwick.core.model.OrganisationId
 import org.godwitwick.core.model.RequestId
+import org.godwitwick.node.memory.BodyMemory
+import org.godwitwick.node.memory.BodyShare
+import org.godwitwick.node.memory.bodyMemoryBytes
+import org.godwitwick.node.memory.bodyMemoryExhausted
+import org.godwitwick.node.memory.readBody
 import org.godwitwick.node.metrics.NodeMetrics
 import org.godwitwick.node.metrics.RequestMeter
 import org.godwitwick.node.security.KeyRing
@@ -21,6 +27,7 @@
 import org.godwitwick.node.upstream.TokenEvent
 import org.godwitwick.node.upstream.TokenStream
 import org.http4k.core.HttpHandler
+import org.http4k.core.MemoryBody
 import org.http4k.core.Method
 import org.http4k.core.Request
 import org.http4k.core.Response
@@ -38,6 +45,7 @@
  *
  * @property refusal returns the failure with which new requests are refused, or null while they are served.
  * @property onDeadline called with the deadline of each valid request.
+ * @property bodyMemory memory for the bodies of requests.
  */
 class CallerRoutes(
     private val keys: KeyRing,
@@ -47,6 +55,7 @@
     private val metrics: NodeMetrics = NodeMetrics(),
     private val refusal: () -> Failure? = { null },
     private val onDeadline: (Deadline) -> Unit = {},
+    private val bodyMemory: BodyMemory = BodyMemory(bodyMemoryBytes(), nowMs),
 ) {
     /** Returns the routes. */
     fun routes(): RoutingHttpHandler = routes(
@@ -63,7 +72,9 @@
             when {
                 principal is Principal.Caller && refused != null -> recorder.failWith(refused)
 
-                principal is Principal.Caller -> answerExceptions(recorder) { action(request, principal.organisation, recorder) }
+                principal is Principal.Caller -> bodyMemory.holding { share ->
+                    answerExceptions(recorder) { action(held(request, share), principal.organisation, recorder) }
+                }
 
                 principal is Principal.Operator -> recorder.failWith(
                     Failure(ErrorKind.FORBIDDEN, "an operator key cannot send requests"),
@@ -73,6 +84,14 @@
             }
         }
 
+    // The text and the prompt are copies of the body.
+    private fun held(request: Request, share: BodyShare): Request {
+        val largestBytes = minOf(MAX_BODY_BYTES, bodyMemory.largestBytes / BODY_COPIES).toInt()
+        val body = readBody(request, largestBytes, share).getOrElse { throw RefusedBody(it) }
+        if (!share.resize(body.size * BODY_COPIES)) throw RefusedBody(bodyMemoryExhausted)
+        return request.body(MemoryBody(body))
+    }
+
     private fun recorderOf(request: Request): RequestRecorder {
         val id = RequestIds.of(request.header(REQUEST_ID_HEADER))
         MDC.put(REQUEST_ID_LOG_KEY, id.value)
@@ -108,6 +127,8 @@
         recorder.failWith(
             Failure(ErrorKind.TOO_LARGE, "the prompt has about ${e.promptTokens} tokens, the limit is ${e.maxTokens}"),
         )
+    } catch (e: RefusedBody) {
+        recorder.failWith(e.failure)
     } catch (e: IllegalArgumentException) {
         val message = e.message?.lineSequence()?.first()?.take(MAX_MESSAGE_CHARS) ?: "bad request"
         recorder.failWith(Failure(ErrorKind.BAD_REQUEST, message))
@@ -202,11 +223,15 @@
             .header(REQUEST_ID_HEADER, request.id.value)
             .body(Json.encodeToString(format.full(request, text, Usage(request.promptTokens, tokens))))
 
+    private class RefusedBody(val failure: Failure) : RuntimeException()
+
     private class PromptTooLong(val promptTokens: Int, val maxTokens: Long) : RuntimeException()
 
     private companion object {
         const val MAX_GENERATED_TOKENS = 65_536
         const val MAX_MESSAGE_CHARS = 200
+        const val MAX_BODY_BYTES = 16L * 1024 * 1024
+        const val BODY_COPIES = 3L
         val lenientJson = Json { ignoreUnknownKeys = true }
         val log = LoggerFactory.getLogger(CallerRoutes::class.java)
     }
--- a/node/src/main/kotlin/org/godwitwick/node/http/ServiceRoutes.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/ServiceRoutes.kt
@@ -18,6 +18,11 @@
 import org.godwitwick.core.model.OrganisationId
 import org.godwitwick.core.model.RequestId
 import org.godwitwick.node.claim.AtMostOnceCaller
+import org.godwitwick.node.memory.BodyMemory
+import org.godwitwick.node.memory.BodyShare
+import org.godwitwick.node.memory.bodyMemoryBytes
+import org.godwitwick.node.memory.bodyMemoryExhausted
+import org.godwitwick.node.memory.readBody
 import org.godwitwick.node.security.KeyRing
 import org.godwitwick.node.security.Principal
 import org.godwitwick.node.upstream.ServiceAnswer
@@ -33,7 +38,6 @@
 import org.http4k.routing.RoutingHttpHandler
 import org.http4k.routing.bind
 import org.http4k.routing.routes
-import java.io.IOException
 import java.security.MessageDigest
 import java.util.UUID
 
@@ -44,6 +48,7 @@
  * other routes need an idempotency key and run at most once.
  *
  * @property maxBodyBytes largest accepted request body, in bytes.
+ * @property bodyMemory memory for the bodies of requests and answers.
  */
 class ServiceRoutes(
     private val keys: KeyRing,
@@ -54,6 +59,7 @@
     private val atMostOnce: AtMostOnceCaller,
     private val nowMs: () -> Long,
     private val maxBodyBytes: Int = DEFAULT_MAX_BODY_BYTES,
+    private val bodyMemory: BodyMemory = BodyMemory(bodyMemoryBytes(), nowMs),
 ) {
     private val retryBudget = ServiceRetryBudget()
 
@@ -74,10 +80,17 @@
 
             null -> return failureResponse(Failure(ErrorKind.UNAUTHENTICATED, "no valid key in the Authorization header"), id)
         }
-        return serve(request, organisation, id).fold({ answerResponse(it, id) }, { failureResponse(it, id) })
+        return bodyMemory.holding { share ->
+            serve(request, organisation, id, share).fold({ answerResponse(it, id) }, { failureResponse(it, id) })
+        }
     }
 
-    private fun serve(request: Request, organisation: OrganisationId, id: RequestId): Result<ServiceAnswer, Failure> {
+    private fun serve(
+        request: Request,
+        organisation: OrganisationId,
+        id: RequestId,
+        share: BodyShare,
+    ): Result<ServiceAnswer, Failure> {
         val target = request.uri.path.removePrefix(PREFIX)
         val service = target.substringBefore('/')
         val path = "/" + target.substringAfter('/', "")
@@ -93,8 +106,12 @@
             )
         val subject = ConfigSubject(organisation = organisation.value, service = service)
         val deadline = deadlineOf(request, subject).getOrElse { return Err(it) }
-        val body = bodyOf(request).getOrElse { return Err(it) }
-        val call = ServiceCall(id, request.method.name, path, request.uri.query, forwardedHeaders(request), body)
+        val body = readBody(request, minOf(maxBodyBytes.toLong(), bodyMemory.largestBytes).toInt(), share).getOrElse {
+            return Err(it)
+        }
+        // After the call has run, it would be too late to refuse it for want of memory for a short answer.
+        if (!share.resize(body.size + MIN_ANSWER_BYTES)) return Err(bodyMemoryExhausted)
+        val call = ServiceCall(id, request.method.name, path, request.uri.query, forwardedHeaders(request), body, share)
         if (replicas.addressOf(service) == null) return Err(noUpstream(service))
         return if (route.idempotent) {
             runWithRetries(
@@ -144,7 +161,13 @@
             if (it.body ==
                 null
             ) {
-                Err(Failure(ErrorKind.UPSTREAM_FAILED, "the answer is larger than the limit", Executed.YES))
+                Err(
+                    Failure(
+                        ErrorKind.UPSTREAM_FAILED,
+                        "the answer is larger than the limit or than the free memory",
+                        Executed.YES,
+                    ),
+                )
             } else {
                 Ok(it)
             }
@@ -162,13 +185,6 @@
         return Ok(Deadline(nowMs() + minOf(timeoutMs, limitMs)))
     }
 
-    private fun bodyOf(request: Request): Result<ByteArray, Failure> = try {
-        val body = request.body.stream.use { it.readNBytes(maxBodyBytes + 1) }
-        if (body.size > maxBodyBytes) Err(Failure(ErrorKind.TOO_LARGE, "the body exceeds $maxBodyBytes bytes")) else Ok(body)
-    } catch (e: IOException) {
-        Err(Failure(ErrorKind.BAD_REQUEST, "the request body could not be read: ${e.message}"))
-    }
-
     // Dot segments, also percent-encoded ones, could lead to a path outside the declared prefix.
     private fun isSafePath(path: String): Boolean = path.none { it in FORBIDDEN_CHARS || it.isISOControl() } &&
         path.split('/').none { it.lowercase().replace("%2e", ".") in DOT_SEGMENTS }
@@ -193,6 +209,7 @@
         const val TIMEOUT_HEADER = "Request-Timeout-Ms"
         const val DEFAULT_MAX_BODY_BYTES = 16 * 1024 * 1024
         const val MAX_ATTEMPTS = 3
+        const val MIN_ANSWER_BYTES = 64L * 1024
         val RETRYABLE_STATUSES = setOf(502, 503, 504)
         val FORBIDDEN_CHARS = setOf('?', '#', '\\')
         val DOT_SEGMENTS = setOf(".", "..")
--- a/node/src/main/kotlin/org/godwitwick/node/memory/BodyMemory.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/memory/BodyMemory.kt
@@ -5,6 +5,8 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.godwitwick.core.memory.MemoryBudget
 import org.godwitwick.core.memory.RefusalReport
+import org.http4k.core.Body
+import org.http4k.core.Response
 import org.slf4j.LoggerFactory
 
 /**
@@ -26,6 +28,19 @@
     /** Opens the share of a request, which is empty at first. It must be closed when the request ends, in whatever way. */
     fun open() = BodyShare(this)
 
+    /** Calls [serve] with the share of one request, which is released when the body of the response is closed. */
+    fun holding(serve: (BodyShare) -> Response): Response {
+        val share = open()
+        var isServed = false
+        try {
+            val response = serve(share)
+            isServed = true
+            return response.body(Body(ClosingInputStream(response.body.stream, share::close), response.body.length))
+        } finally {
+            if (!isServed) share.close()
+        }
+    }
+
     /** Registers the metrics of this memory in [registry]. */
     fun register(registry: PrometheusRegistry) {
         gauge(registry, "godwitwick_body_memory_limit_bytes", "Bytes that bodies may use at once.") { budget.limitBytes }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestBodyReader.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/memory/RequestBodyReader.kt
@@ -1,11 +1,10 @@
-package org.godwitwick.node.forward
+package org.godwitwick.node.memory
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import org.godwitwick.core.error.ErrorKind
 import org.godwitwick.core.error.Failure
-import org.godwitwick.node.memory.BodyShare
 import org.http4k.core.Request
 import java.io.IOException
 import java.io.InputStream
@@ -18,7 +17,7 @@
 fun readBody(request: Request, limitBytes: Int, share: BodyShare): Result<ByteArray, Failure> {
     val statedBytes = request.header("Content-Length")?.toLongOrNull()
     if (statedBytes != null && statedBytes > limitBytes) return Err(tooLarge(limitBytes))
-    if (statedBytes != null && !share.resize(statedBytes)) return Err(outOfMemory)
+    if (statedBytes != null && !share.resize(statedBytes)) return Err(bodyMemoryExhausted)
     return try {
         request.body.stream.use {
             if (statedBytes ==
@@ -46,7 +45,7 @@
     var count = 0
     while (true) {
         // Joining the parts takes their size once more.
-        if (!share.resize((count + PART_BYTES) * COPIES)) return Err(outOfMemory)
+        if (!share.resize((count + PART_BYTES) * COPIES)) return Err(bodyMemoryExhausted)
         val part = input.readNBytes(PART_BYTES)
         count += part.size
         if (count > limitBytes) return Err(tooLarge(limitBytes))
@@ -65,7 +64,7 @@
 
 private fun tooLarge(limitBytes: Int) = Failure(ErrorKind.TOO_LARGE, "the request body exceeds $limitBytes bytes")
 
-private val outOfMemory =
+internal val bodyMemoryExhausted =
     Failure(ErrorKind.OVERLOADED, "the bodies in flight take all memory for bodies", retryAfterMs = RETRY_MS)
 
 private const val PART_BYTES = 16 * 1024
--- a/node/src/main/kotlin/org/godwitwick/node/settings/NodeSettings.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/settings/NodeSettings.kt
@@ -1,6 +1,7 @@
 package org.godwitwick.node.settings
 
 import kotlinx.serialization.Serializable
+import org.godwitwick.node.memory.DEFAULT_BODY_MEMORY_FRACTION
 import org.godwitwick.node.security.KeyEntry
 
 /**
@@ -17,6 +18,7 @@
  * @property stallTimeoutMs timeout of a write to a caller, and of a connect, read or write on a connection to an upstream.
  * @property cutOffGraceMs time since the last confirmation of the configuration after which a cut-off instance refuses new work.
  * @property logRetentionMs time for which the platform's log retains a record.
+ * @property bodyMemoryFraction fraction of the heap that the bodies of requests and buffered answers may use at once.
  */
 @Serializable
 data class NodeSettings(
@@ -37,6 +39,7 @@
     val stallTimeoutMs: Long = 10_000,
     val cutOffGraceMs: Long = 4_000,
     val logRetentionMs: Long = 86_400_000,
+    val bodyMemoryFraction: Double = DEFAULT_BODY_MEMORY_FRACTION,
 )
 
 /** Content of a key file. */
--- a/node/src/main/kotlin/org/godwitwick/node/settings/SettingsCheck.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/settings/SettingsCheck.kt
@@ -24,6 +24,7 @@
     integer("stallTimeoutMs", stallTimeoutMs, 100L..600_000L, "milliseconds")
     integer("cutOffGraceMs", cutOffGraceMs, 3_000L..3_600_000L, "milliseconds")
     integer("logRetentionMs", logRetentionMs, 120_000L..31_536_000_000L, "milliseconds")
+    if (bodyMemoryFraction !in 0.05..0.5) add("bodyMemoryFraction", bodyMemoryFraction, "0.05 to 0.5 (fraction of the heap)")
 }.faults
 
 /** Returns all faults of this key file, which was read from [file]. The faults contain no key and no hash. */
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/ServiceClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ServiceClient.kt
@@ -8,9 +8,10 @@
 import okhttp3.OkHttpClient
 import okhttp3.Protocol
 import okhttp3.Request
-import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
 import org.godwitwick.core.model.RequestId
+import org.godwitwick.node.memory.BodyShare
+import org.godwitwick.node.memory.readWhole
 import org.slf4j.LoggerFactory
 import java.io.IOException
 import java.util.concurrent.TimeUnit
@@ -21,6 +22,7 @@
  *
  * @property path decoded path after the name of the service, with a leading slash.
  * @property query raw query string, or empty if there is none.
+ * @property share memory for [body], which it holds already, and for the answer.
  */
 class ServiceCall(
     val id: RequestId,
@@ -29,9 +31,10 @@
     val query: String,
     val headers: List<Pair<String, String>>,
     val body: ByteArray,
+    val share: BodyShare,
 )
 
-/** The answer of a service; [body] is null if it exceeded the limit of the client. */
+/** The answer of a service; [body] is null if it exceeded the limit of the client or the memory for bodies. */
 class ServiceAnswer(val status: Int, val headers: List<Pair<String, String>>, val body: ByteArray?)
 
 /** Client of plain services. It never repeats a call. */
@@ -91,11 +94,12 @@
         }
         val headers = response.headers.toList() + listOfNotNull(gate.retryAfter?.let { "Retry-After" to it })
         val source = response.body.source()
-        if (source.request(maxAnswerBytes + 1)) {
-            sent.cancel()
-            return Ok(ServiceAnswer(response.code, headers, null))
-        }
-        return Ok(ServiceAnswer(response.code, headers, source.readByteArray()))
+        // An answer without a body may state the length of the one it stands for.
+        val hasBody = call.method != "HEAD" && response.code != NOT_MODIFIED
+        val statedBytes = if (hasBody) response.body.contentLength() else 0
+        val body = source.readWhole(statedBytes, maxAnswerBytes, call.share, call.body.size.toLong())
+        if (body == null) sent.cancel()
+        return Ok(ServiceAnswer(response.code, headers, body))
     }
 
     // The id or the idempotency key in an answer, if the service returns it, identifies the request that is answered.
@@ -119,7 +123,7 @@
             }
         }
         if (call.query.isNotEmpty()) url.encodedQuery(call.query)
-        val body = if (call.method in METHODS_WITHOUT_BODY) null else call.body.toRequestBody()
+        val body = if (call.method in METHODS_WITHOUT_BODY) null else OneShotBody(call.body, null)
         val request = Request.Builder().url(url.build()).method(call.method, body).tag(WriteGate::class.java, gate)
         call.headers.forEach { (name, value) -> request.addHeader(name, value) }
         // Without this header OkHttp would request gzip.
@@ -138,6 +142,7 @@
 
         private val log = LoggerFactory.getLogger(ServiceClient::class.java)
         private const val DEFAULT_MAX_ANSWER_BYTES = 16L * 1024 * 1024
+        private const val NOT_MODIFIED = 304
         private val METHODS_WITHOUT_BODY = setOf("GET", "HEAD")
     }
 }
--- a/node/src/test/kotlin/org/godwitwick/node/forward/RequestBodyReaderTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/memory/RequestBodyReaderTest.kt
@@ -1,10 +1,9 @@
-package org.godwitwick.node.forward
+package org.godwitwick.node.memory
 
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import org.godwitwick.core.error.ErrorKind
 import org.godwitwick.core.error.Executed
-import org.godwitwick.node.memory.BodyMemory
 import org.http4k.core.Body
 import org.http4k.core.Method
 import org.http4k.core.Request
