--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
@@ -10,6 +10,8 @@
 import org.godwitwick.core.model.Deadline
 import org.godwitwick.node.http.CallerWatch
 import org.godwitwick.node.http.StreamingUndertow
+import org.godwitwick.node.memory.BodyShare
+import org.godwitwick.node.memory.readBody
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.slf4j.LoggerFactory
@@ -37,16 +39,23 @@
     }
 
     private fun answer(decoded: CallerRequest, request: Request, caller: CallerWatch): Response =
-        forwardDecoded(decoded, request, caller).getOrElse { failure ->
-            val response = refuse(failure, decoded.id)
-            if (decoded.hop == null) response else RelayHeaders.withOutcome(response, outcomeOf(failure))
+        context.bodyMemory.holding { share ->
+            forwardDecoded(decoded, request, caller, share).getOrElse { failure ->
+                val response = refuse(failure, decoded.id)
+                if (decoded.hop == null) response else RelayHeaders.withOutcome(response, outcomeOf(failure))
+            }
         }
 
     // Before a request is placed, only this instance can be overloaded.
     private fun outcomeOf(failure: Failure): RelayOutcome =
         if (failure.kind == ErrorKind.OVERLOADED) RelayOutcome.UNABLE else RelayOutcome.of(failure, wasSent = false)
 
-    private fun forwardDecoded(decoded: CallerRequest, request: Request, caller: CallerWatch): Result<Response, Failure> {
+    private fun forwardDecoded(
+        decoded: CallerRequest,
+        request: Request,
+        caller: CallerWatch,
+        share: BodyShare,
+    ): Result<Response, Failure> {
         refusal()?.let { return Err(it.copy(retryAfterMs = 0)) }
         val isFull =
             runWatch.count >= maxInFlight || (decoded.hop != null && runWatch.relayedCount >= maxInFlight / MAX_RELAYED_DIVISOR)
@@ -57,13 +66,14 @@
         val arrivedMs = arrivalOf(request)
         val timeoutMs = minOf(decoded.timeoutMs ?: admitted.route.timeoutMs, admitted.route.timeoutMs)
         val limitBytes = context.fleetView.routing.table?.config?.limits?.maxBodyBytes ?: DEFAULT_MAX_BODY_BYTES
-        val body = readBody(request, limitBytes).getOrElse { return Err(it) }
+        val largestBytes = minOf(limitBytes.toLong(), context.bodyMemory.largestBytes).toInt()
+        val body = readBody(request, largestBytes, share).getOrElse { return Err(it) }
         val guard = RunGuard(arrivedMs + timeoutMs)
         onDeadline(Deadline(guard.deadlineMs))
         caller.onDisconnect(guard::onCallerDisconnect)
         runWatch.add(guard, isRelayed = decoded.hop != null)
         return try {
-            Ok(ForwardRun(context, decoded, body, arrivedMs, guard) { runWatch.remove(guard) }.answer())
+            Ok(ForwardRun(context, decoded, body, arrivedMs, guard, share) { runWatch.remove(guard) }.answer())
         } catch (e: RuntimeException) {
             // A programming error; if the guard were not removed, the request would count as in flight permanently.
             runWatch.remove(guard)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -2,6 +2,8 @@
 
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.map
+import okio.Buffer
+import okio.BufferedSource
 import org.godwitwick.core.error.Failure
 import org.godwitwick.core.forward.AdmittedTarget
 import org.godwitwick.core.forward.AttemptEnd
@@ -19,6 +21,8 @@
 import org.godwitwick.core.forward.failureOf
 import org.godwitwick.core.forward.nextStep
 import org.godwitwick.core.forward.urgencyOf
+import org.godwitwick.node.memory.BodyShare
+import org.godwitwick.node.memory.buffersWhole
 import org.http4k.core.Body
 import org.http4k.core.Response
 import org.http4k.core.Status
@@ -31,6 +35,7 @@
  * thread.
  *
  * @param arrivedMs monotonic time of the request's arrival.
+ * @param share memory of this request; it holds [body] already.
  * @param onEnd called when the answer was forwarded completely or has been abandoned.
  */
 class ForwardRun(
@@ -39,6 +44,7 @@
     private val body: ByteArray,
     private val arrivedMs: Long,
     private val guard: RunGuard,
+    private val share: BodyShare,
     private val onEnd: () -> Unit,
 ) {
     private val placer = RequestPlacer(context, request)
@@ -65,7 +71,7 @@
         class Stream(val stream: UpstreamStream) : Outcome
 
         /** An answer that is not a stream: [body] holds all of it, unless [largeBody] is set. */
-        class Single(val head: AnswerHead, val body: ByteArray, val largeBody: InputStream?, val upstream: UpstreamEntry) :
+        class Single(val head: AnswerHead, val body: Buffer, val largeBody: InputStream?, val upstream: UpstreamEntry) :
             Outcome
 
         class Failed(val failure: Failure) : Outcome
@@ -251,20 +257,16 @@
             eventGapTimeoutMs = context.streamTimeouts.eventGapTimeoutMs(route, counts.mayHaveRun)
             guard.restartSilenceTimer(eventGapTimeoutMs, Clocks.steadyMs())
             Outcome.Stream(UpstreamStream(open.head, upstream, first, open, reader, endAttempt))
-        } else if (source.request(MAX_BUFFERED_BYTES + 1)) {
-            Outcome.Single(
-                open.head,
-                ByteArray(0),
-                LargeBody(open) {
-                    endAttempt()
-                    onEnd()
-                },
-                upstream,
-            )
-        } else {
-            val bytes = source.readByteArray()
+        } else if (buffersWhole(source)) {
+            val body = Buffer().apply { writeAll(source) }
             open.close()
-            Outcome.Single(open.head, bytes, null, upstream)
+            Outcome.Single(open.head, body, null, upstream)
+        } else {
+            val largeBody = LargeBody(open, { share.resize(body.size + it) }) {
+                endAttempt()
+                onEnd()
+            }
+            Outcome.Single(open.head, Buffer(), largeBody, upstream)
         }
     } catch (e: IOException) {
         lastEnd = brokenBy(e)
@@ -273,6 +275,12 @@
         null
     }
 
+    private fun buffersWhole(source: BufferedSource): Boolean {
+        // An answer to an earlier attempt is dropped.
+        share.resize(body.size.toLong())
+        return source.buffersWhole(MAX_BUFFERED_BYTES, share, body.size.toLong())
+    }
+
     private fun onAnswerRead(route: ForwardRoute, upstream: UpstreamEntry?, outcome: Outcome.Single?): Outcome? {
         if (outcome == null) return decideNext(route, upstream, lastEnd ?: AttemptEnd.Broken("no answer"), null)
         if (outcome.largeBody != null) return outcome
