--- a/node/src/main/kotlin/org/godwitwick/node/forward/AnswerCheck.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/AnswerCheck.kt
@@ -7,7 +7,6 @@
     private const val STATUS_LINE_START = "HTTP/1."
     private val SUCCESS = 200..299
     private val BODILESS_STATUSES = setOf(204, 304)
-    private val FRAMING_HEADERS = listOf("Content-Length", "Transfer-Encoding")
 
     /** To callers these statuses mean that the request was not executed. */
     val NOT_EXECUTED_STATUSES = setOf(408, 421, 429, 503)
@@ -20,7 +19,7 @@
 
     /** Whether the end of [response] is known from its head or its chunks, as opposed to the end of its connection. */
     fun statesItsEnd(response: Response): Boolean =
-        response.code in BODILESS_STATUSES || FRAMING_HEADERS.any { response.header(it) != null }
+        response.code in BODILESS_STATUSES || AnswerFraming.of(response) != AnswerFraming.CONNECTION
 
     /** Returns why the answer with [head] must not be passed on as the answer to [call], or null if it may be. */
     fun faultOf(call: UpstreamCall, head: AnswerHead): String? = when {
