Prove to the other instance that a relayed request is counted

What callers saw: a caller that sends `Godwitwick-Relay: 9;counted` was not counted for the retry budget, so its repeats were taken from the other callers' budget. The numbers of runs were right before: a safe request ran on 1 or 2 upstreams and a charge on 1 whatever the header said.

Cause: the receiving instance believed `counted`.

Change: a counted hop carries an HMAC of the request's id and its runs with the secret that the instances share at the store. Without it the request is counted. Ignoring `counted` would have been simpler, but counts a relayed request twice in a fleet of one version.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -45,12 +45,14 @@
  * @param connectTimeoutMs time within which a connection must be established.
  * @param onStatement called with what an upstream states about itself in an answer.
  * @param onConnect notified of the outcome of each connection attempt to an upstream.
+ * @param relayHeaders writes the header of relayed requests.
  */
 class ForwardClient(
     private val dialect: ForwardDialect,
     connectTimeoutMs: Long,
     private val onStatement: (UpstreamEntry, UpstreamStatement) -> Unit,
     private val onConnect: ConnectListener,
+    private val relayHeaders: RelayHeaders,
 ) {
     private val toPeers = noRetryClientBuilder().plainHttp()
         .connectTimeout(connectTimeoutMs, TimeUnit.MILLISECONDS)
@@ -119,7 +121,7 @@
         onStart: (Call) -> Unit,
     ): RelayResult {
         val gate = WriteGate()
-        val headers = dialect.encodeRelayed(call) + RelayHeaders.encode(call.hop)
+        val headers = dialect.encodeRelayed(call) + relayHeaders.encode(call.hop, call.request.id)
         val url = "http://${call.peer.callerAddress}${call.request.target}"
         val client = if (needsNewConnection) toPeersUnpooled else toPeers
         val sent = client.newCall(requestOf(call.request, url, headers, body, gate))
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
@@ -26,5 +26,6 @@
     val metrics: ForwardMetrics,
     val random: Random,
     val relay: Relay,
+    val relayHeaders: RelayHeaders,
     val onLongPromptPlaced: () -> Unit,
 )
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardHandler.kt
@@ -31,7 +31,7 @@
     /** Answers [request]. */
     fun answer(request: Request, caller: CallerWatch): Response {
         val decoded = context.dialect.decode(request).getOrElse { return refuse(it, "") }
-        val hop = RelayHeaders.hopOf(request) ?: return answer(decoded, request, caller)
+        val hop = context.relayHeaders.hopOf(request, decoded.id) ?: return answer(decoded, request, caller)
         val relayed = decoded.copy(headers = decoded.headers.filterNot { RelayHeaders.isOwn(it.first) }, hop = hop)
         return RelayHeaders.withOutcome(answer(relayed, request, caller), RelayOutcome.SERVED)
     }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -60,7 +60,8 @@
         Clocks::steadyMs,
         Random.Default,
     ) { client.closeIdle() }
-    private val client: ForwardClient = ForwardClient(dialect, CONNECT_TIMEOUT_MS, statements::onAnswer, relay)
+    private val relayHeaders = RelayHeaders { peers.secret }
+    private val client: ForwardClient = ForwardClient(dialect, CONNECT_TIMEOUT_MS, statements::onAnswer, relay, relayHeaders)
     private val reservations = Reservations(client, dialect, holdMsOf(settings))
     private val runs = RunWatch(Clocks::steadyMs)
     private val inFlight = InFlightExchanges()
@@ -90,6 +91,7 @@
         ),
         random = Random.Default,
         relay = relay,
+        relayHeaders = relayHeaders,
         onLongPromptPlaced = peers::sendLoadSoon,
     )
     private val configFollower =
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
@@ -47,7 +47,6 @@
 
     @Volatile
     private var transport: PeerTransport? = null
-    private var secret: ByteArray? = null
     private var isSecretKnown = false
     private var secretEra: Long? = null
     private val loadExchange = LoadExchange(self, loads, peerLoads) { to, message -> transport?.send(to, message) }
@@ -55,6 +54,11 @@
         QuarantineExchange(crashGuard::lastingRows, Random.Default) { to, message -> transport?.send(to, message) }
     private val isSendScheduled = AtomicBoolean()
 
+    /** The secret that only the instances share, or null while it is not known. */
+    @Volatile
+    var secret: ByteArray? = null
+        private set
+
     /** The registered instances, as known to this one. */
     val fleet = RegisteredFleet(self, registry) { to, pull ->
         transport?.request(to, pull, MEMBERS_TIMEOUT_MS)?.get() as? MembersAnswer
