Ignore frames of an unknown kind, and report unknown formats once a minute for each peer

What callers saw: nothing yet, as no version sends other kinds. One such frame would have ended the connection between two instances with all that waits on it, and each message of an unknown type wrote a log line. LaterFrameTest on the code before: `a frame of an unknown kind is ignored and the connection stays` ended with EOF; `messages of an unknown type are reported once a minute ...`: "✗ has size 1"; `a message with an unknown value of a known field ...`: "✗ contains "fl"". A message with a further field was handled before as well.

Cause: the kind was an enumeration, so the header of another kind was malformed, which is refused like a forged frame. Change: the kind is its name; the server ignores what it does not know after the same checks of HMAC, receiver, time and sequence. The log names the type of the message or the kind of the frame.

--- a/node/src/main/kotlin/org/godwitwick/node/peer/PeerFrame.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/PeerFrame.kt
@@ -4,9 +4,19 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
 
-/** Purpose of a frame. */
+/** Purpose of a frame, as its [name] on the wire. Later versions may send others than the ones named here. */
 @Serializable
-enum class FrameKind { SEND, REQUEST, ANSWER, NO_ANSWER, PING, PONG }
+@JvmInline
+value class FrameKind(val name: String) {
+    companion object {
+        val SEND = FrameKind("SEND")
+        val REQUEST = FrameKind("REQUEST")
+        val ANSWER = FrameKind("ANSWER")
+        val NO_ANSWER = FrameKind("NO_ANSWER")
+        val PING = FrameKind("PING")
+        val PONG = FrameKind("PONG")
+    }
+}
 
 /**
  * Header of a frame.
--- a/node/src/main/kotlin/org/godwitwick/node/peer/PeerServer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/PeerServer.kt
@@ -25,6 +25,7 @@
 internal class PeerServer(
     private val protocol: FrameProtocol,
     private val limits: PeerLimits,
+    private val unknownFormats: UnknownFormatLog,
     private val handle: (PeerFrame, answer: (ByteArray?) -> Unit) -> Unit,
 ) {
     private class Reply(val to: String, val kind: FrameKind, val correlation: Long, val body: ByteArray)
@@ -112,6 +113,8 @@
             }
 
             FrameKind.ANSWER, FrameKind.NO_ANSWER, FrameKind.PONG -> throw FrameRefusedException(FrameRefusal.MALFORMED)
+
+            else -> unknownFormats.report(header.from, "frame ${header.kind.name}")
         }
     }
 
--- a/node/src/main/kotlin/org/godwitwick/node/peer/PeerTransport.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/PeerTransport.kt
@@ -67,7 +67,8 @@
         >()
     private val links = ConcurrentHashMap<String, PeerLink>()
     private val correlations = AtomicLong()
-    private val server = PeerServer(protocol, limits, ::dispatch)
+    private val unknownFormats = UnknownFormatLog(monotonicMs)
+    private val server = PeerServer(protocol, limits, unknownFormats, ::dispatch)
 
     /** Port on which peer connections are accepted. Available after [start]. */
     val port: Int get() = server.port
@@ -155,7 +156,8 @@
         handlers[message.javaClass]?.invoke(InstanceId(frame.header.from), message) ?: NO_MESSAGE
     } catch (e: SerializationException) {
         // A peer with a newer version may send message types that this version lacks.
-        log.warn("peer: failed to decode a message from {}: {}", frame.header.from, e.message)
+        log.debug("peer: failed to decode a message from {}", frame.header.from, e)
+        unknownFormats.report(frame.header.from, "message ${messageTypeOf(frame.body)}")
         NO_MESSAGE
     } catch (e: RejectedExecutionException) {
         log.debug("peer: message from {} not handled because this instance is stopping: {}", frame.header.from, e.message)
--- a/node/src/test/kotlin/org/godwitwick/node/formats/RecordedFormat.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/formats/RecordedFormat.kt
@@ -95,7 +95,7 @@
 private val codec = FrameCodec("secret".toByteArray(), maxFrameBytes = 10_000)
 
 private fun frames() = listOf("SEND", "REQUEST", "ANSWER", "NO_ANSWER", "PING", "PONG").map { kind ->
-    val header = FrameHeader("a", "b", 5, 7, 1_000, FrameKind.valueOf(kind), 9)
+    val header = FrameHeader("a", "b", 5, 7, 1_000, FrameKind(kind), 9)
     RecordedFormat("frame-$kind", checkNotNull(codec.encode(header, "body".toByteArray()).get())) { bytes ->
         val frame = checkNotNull(codec.decode(bytes).get())
         checkNotNull(codec.encode(frame.header, frame.body).get())
