--- a/core/src/main/kotlin/org/godwitwick/core/config/ConfigRecord.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/config/ConfigRecord.kt
@@ -3,6 +3,8 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
 
 /** Content of a record of the stream `config`, encoded as JSON. */
 @Serializable
@@ -50,4 +52,12 @@
     null
 }
 
+/** Whether [data] is a snapshot that this version cannot read, as a later one has written it. */
+fun isUnreadableSnapshot(data: ByteArray): Boolean = decodeConfigRecord(data) == null && try {
+    val record = recordJson.parseToJsonElement(data.decodeToString()) as? JsonObject
+    (record?.get("type") as? JsonPrimitive)?.content == "snapshot"
+} catch (_: IllegalArgumentException) {
+    false
+}
+
 private val recordJson = Json { classDiscriminator = "type" }
--- a/node/src/main/kotlin/org/godwitwick/node/config/ConfigStore.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/config/ConfigStore.kt
@@ -13,6 +13,7 @@
 import org.godwitwick.core.config.decodeConfigRecord
 import org.godwitwick.core.config.encodeConfigRecord
 import org.godwitwick.core.config.freshnessAt
+import org.godwitwick.core.config.isUnreadableSnapshot
 import org.godwitwick.core.config.isLogDown
 import org.godwitwick.core.membership.PAUSE_THRESHOLD_MS
 import org.godwitwick.core.membership.PauseDetector
@@ -89,6 +90,8 @@
     /** Applies a peer's answer to a pull from [fromOffset] that was sent at [askedAtMs]. Returns whether the state advanced. */
     fun applyPeerAnswer(answer: ConfigPullAnswer, fromOffset: Long, askedAtMs: Long): Boolean {
         val records = answer.records.map { ConfigLogRecord(it.offset, it.timeMs, it.data) }
+        // The records for which such a snapshot stands have not been read.
+        if (answer.snapshot?.let(::isUnreadableSnapshot) == true) return false
         val snapshot = answer.snapshot?.let { (decodeConfigRecord(it) as? ConfigRecord.Snapshot)?.snapshot }
         val next = if (snapshot != null) fold.adopt(snapshot) else fold.apply(ConfigPage(fromOffset, answer.nextOffset, records))
         val advanced = advance(next, records)
