--- a/node/src/main/kotlin/org/godwitwick/node/config/ConfigFollower.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/config/ConfigFollower.kt
@@ -6,7 +6,6 @@
 import org.godwitwick.core.config.ConfigView
 import org.godwitwick.core.config.Freshness
 import org.godwitwick.core.config.encodeConfigRecord
-import org.godwitwick.core.config.isSnapshotDue
 import org.godwitwick.core.membership.tailersOf
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.control.ControlThread
@@ -130,12 +129,20 @@
     }
 
     private fun applyPage(page: LogPage, from: Long, askedAtMs: Long) {
+        val knownUnreadable = store.unreadableSnapshotOffset
         val advanced = store.applyLogPage(page, from, askedAtMs)
+        if (store.unreadableSnapshotOffset != knownUnreadable) reportUnreadableSnapshot()
         if (advanced || !isLogReachable) notifyPeers()
         if (!isLogReachable) log().info("config: the log is reachable, applied offset is {}", store.state.appliedOffset)
         isLogReachable = true
     }
 
+    private fun reportUnreadableSnapshot() = log().error(
+        "config: the snapshot at offset {} has a format of a later version; this instance writes none{}",
+        store.unreadableSnapshotOffset,
+        if (store.awaitsSnapshot) " and refuses work, as it lacks earlier records: start the later version" else "",
+    )
+
     private fun onReadFailure(failure: LogFailure) {
         if (isLogReachable) log().warn("config: the log cannot be read: {}", failure.message)
         isLogReachable = false
@@ -185,7 +192,7 @@
 
     private fun writeSnapshotIfDue() {
         val state = store.state
-        if (!isTailer() || freshness() != Freshness.Current || !isSnapshotDue(state, wallMs(), logRetentionMs)) return
+        if (!isTailer() || freshness() != Freshness.Current || !store.mustWriteSnapshot(wallMs(), logRetentionMs)) return
         if (!isWritingSnapshot.compareAndSet(false, true)) return
         writer.execute {
             try {
--- a/node/src/main/kotlin/org/godwitwick/node/config/ConfigStore.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/config/ConfigStore.kt
@@ -13,8 +13,9 @@
 import org.godwitwick.core.config.decodeConfigRecord
 import org.godwitwick.core.config.encodeConfigRecord
 import org.godwitwick.core.config.freshnessAt
-import org.godwitwick.core.config.isUnreadableSnapshot
 import org.godwitwick.core.config.isLogDown
+import org.godwitwick.core.config.isSnapshotDue
+import org.godwitwick.core.config.isUnreadableSnapshot
 import org.godwitwick.core.membership.PAUSE_THRESHOLD_MS
 import org.godwitwick.core.membership.PauseDetector
 import org.godwitwick.node.peer.ConfigPull
@@ -49,6 +50,10 @@
     @Volatile
     private var lastTickMs = startMs
 
+    /** Offset of the last snapshot in the log that this version cannot read, or null if there is none. */
+    var unreadableSnapshotOffset: Long? = null
+        private set
+
     /** State after the applied records. */
     @Volatile
     var state: ConfigState = fold.state
@@ -59,6 +64,9 @@
     var view: ConfigView = PublishedConfig(fold.state)
         private set
 
+    /** Whether records are missing that only a snapshot can replace. */
+    val awaitsSnapshot: Boolean get() = fold.hasGap
+
     /** Offset from which the log is read next. */
     val nextLogOffset: Long get() = fold.nextOffset
 
@@ -81,6 +89,7 @@
     fun applyLogPage(page: LogPage, requestedOffset: Long, askedAtMs: Long): Boolean {
         val from = maxOf(requestedOffset, page.earliestOffset)
         val records = page.records.map { ConfigLogRecord(it.offset, it.timeMs, it.data) }
+        records.lastOrNull { isUnreadableSnapshot(it.data) }?.let { unreadableSnapshotOffset = it.offset }
         val advanced =
             advance(fold.apply(ConfigPage(from, records.lastOrNull()?.let { it.offset + 1 } ?: from, records)), records)
         observeLogEnd(LogEndObservation(page.endOffset, askedAtMs))
@@ -135,6 +144,10 @@
         return wasPaused
     }
 
+    /** Whether a snapshot of [state] is to be appended to the log at [wallMs]. One of a later version is not superseded. */
+    fun mustWriteSnapshot(wallMs: Long, logRetentionMs: Long): Boolean =
+        unreadableSnapshotOffset == null && isSnapshotDue(state, wallMs, logRetentionMs)
+
     /** Returns a future that completes with the outcome of publication [id]. */
     fun outcomeOf(id: String): CompletableFuture<HistoryEntry> {
         state.outcomeOf(id)?.let { return CompletableFuture.completedFuture(it) }
--- a/node/src/test/kotlin/org/godwitwick/node/config/LaterSnapshotTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/config/LaterSnapshotTest.kt
@@ -1,11 +1,15 @@
 package org.godwitwick.node.config
 
+import org.godwitwick.core.config.ConfigField
 import org.godwitwick.core.config.Freshness
+import org.godwitwick.core.config.SNAPSHOT_INTERVAL_RECORDS
 import org.godwitwick.node.peer.ConfigPullAnswer
 import org.godwitwick.node.platform.LogRecord
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
 
 /** Snapshots of the configuration that a later version has written. */
 class LaterSnapshotTest {
@@ -29,4 +33,16 @@
         store.applyLogPage(pageOf(*records, earliest = 8), 0, askedAtMs = 100)
         expectThat(store.freshness(110)).isEqualTo(Freshness.CutOff(refusesWork = true))
     }
+
+    // Guards against a version that puts its own snapshot over one that it cannot read.
+    @Test
+    fun `no snapshot is written after one of a later format`() {
+        val count = SNAPSHOT_INTERVAL_RECORDS
+        (0 until count).forEach { store.applyLogPage(pageOf(record(it, queueMax("p$it", 1, expected = it - 1))), it, 10) }
+        expectThat(store.mustWriteSnapshot(wallMs = 20, logRetentionMs = 1_000_000)).isTrue()
+        store.applyLogPage(pageOf(LogRecord(count, count, later)), count, 10)
+        expectThat(store.mustWriteSnapshot(wallMs = 20, logRetentionMs = 1_000_000)).isFalse()
+        expectThat(store.view.integer(ConfigField.QUEUE_MAX)).isEqualTo(1)
+        expectThat(store.freshness(20)).isEqualTo(Freshness.Current)
+    }
 }
