--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
@@ -27,6 +27,7 @@
     val metrics: ForwardMetrics,
     val random: Random,
     val relay: Relay,
+    val relayHeaders: RelayHeaders,
     val onLongPromptPlaced: () -> Unit,
     val bodyMemory: BodyMemory,
 )
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -61,7 +61,8 @@
         Clocks::steadyMs,
         Random.Default,
     ) { client.closeIdle() }
-    private val client: ForwardClient = ForwardClient(dialect, CONNECT_TIMEOUT_MS, statements::onAnswer, relay)
+    private val relayHeaders = RelayHeaders { peers.secret }
+    private val client: ForwardClient = ForwardClient(dialect, CONNECT_TIMEOUT_MS, statements::onAnswer, relay, relayHeaders)
     private val reservations = Reservations(client, dialect, holdMsOf(settings))
     private val runs = RunWatch(Clocks::steadyMs)
     private val inFlight = InFlightExchanges()
@@ -91,6 +92,7 @@
         ),
         random = Random.Default,
         relay = relay,
+        relayHeaders = relayHeaders,
         onLongPromptPlaced = peers::sendLoadSoon,
         bodyMemory = BodyMemory(settings.bodyMemoryBytes, Clocks::steadyMs).also { it.register(metrics.registry) },
     )
