Do not reuse a kept connection that its server has closed

What callers saw: 502 ("unexpected end of stream", "Connection reset by peer") for look-ups and resumable streams whose upstream had closed its idle connection, and a repeat taken from the retry budget for each of them as long as there was one. Calls to the store failed in the same way.

Cause: OkHttp takes a connection out of its pool if its socket is open on this side. It looks for an end sent by the server only after 10 s without use, and never for GET; the pool for upstreams keeps connections for 4 s.

Change: LimitedSocket, which all clients of noRetryClientBuilder use, tells OkHttp that its input is shut down if anything can be read on an idle connection: its end, a reset, or bytes that belong to no answer. Sockets are on channels now, which can be read without waiting. As an interrupt now ends a read at once, the reader of a feed that is being closed no longer logs a loss.

A thread that watches idle connections learns of an end later than the kernel, so a request may be sent in between; it was not tried. A shorter time in the pool makes the case rarer only.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/FeedReader.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FeedReader.kt
@@ -104,7 +104,8 @@
     }
 
     private fun onFailure(failure: FeedFailure, sentAt: ClockReading) {
-        if (failure is FeedFailure.HistoryDropped) return
+        // The thread of a follower is interrupted when that is closed, which ends the read.
+        if (failure is FeedFailure.HistoryDropped || Thread.currentThread().isInterrupted) return
         isOnlyConnectionSilent = failures == 0 && failure is FeedFailure.Silent
         if (failures++ > 0) return
         log.warn("feed: {} lost after {} ms: {}", name, clock().steadyMs - sentAt.steadyMs, failure.message)
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/ReceiveLimit.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ReceiveLimit.kt
@@ -10,15 +10,18 @@
 import java.io.InputStream
 import java.net.InetAddress
 import java.net.Socket
+import java.net.SocketException
+import java.nio.channels.ClosedChannelException
 import javax.net.SocketFactory
 
 /**
- * A socket that bounds the bytes received between two reads of a response body.
+ * A socket that bounds the bytes received between two reads of a response body, and that tells before each further use whether its
+ * server has closed it.
  *
  * Protects against faulty servers that send an endless sequence of bytes where a response head, a chunk size or a trailer is
  * expected. OkHttp bounds only the head; it would buffer the others until memory is exhausted.
  */
-internal class LimitedSocket : Socket() {
+internal class LimitedSocket private constructor(private val connection: ChannelSocketImpl) : Socket(connection) {
     // False until the first call of [onBodyRead]. Under TLS the client reads through another socket and never calls it, so that
     // connections with TLS are not bounded.
     private var isBounded = false
@@ -26,6 +29,8 @@
     private val input by lazy { LimitedInput(super.getInputStream()) }
     private var tail = ResponseTail()
 
+    constructor() : this(ChannelSocketImpl())
+
     /** Starts to receive the response to the next request; the result follows its bytes. */
     fun beginResponse(): ResponseTail {
         onBodyRead()
@@ -40,6 +45,20 @@
 
     override fun getInputStream(): InputStream = input
 
+    /**
+     * Whether nothing can be received any more. Also closes the socket if the server has closed it or sent bytes that belong to no
+     * response.
+     *
+     * OkHttp calls this, of the methods for reading, only when it takes a connection out of its pool; its own check waits for 1 ms, and
+     * is made for some methods after 10 s only.
+     */
+    override fun isInputShutdown(): Boolean {
+        if (super.isInputShutdown()) return true
+        if (!isBounded || isClosed || !connection.hasInput()) return false
+        close()
+        return true
+    }
+
     private inner class LimitedInput(private val source: InputStream) : InputStream() {
         override fun read(): Int {
             val single = ByteArray(1)
@@ -47,7 +66,12 @@
         }
 
         override fun read(target: ByteArray, offset: Int, length: Int): Int {
-            val count = source.read(target, offset, length)
+            val count = try {
+                source.read(target, offset, length)
+            } catch (_: ClosedChannelException) {
+                // The original exception has no message.
+                throw SocketException("the socket was closed, or its thread interrupted, during a read")
+            }
             if (count > 0) tail.onReceived(target, offset, count)
             count(count)
             return count
