Callers of HTTP/1.0 that do not read in time: close their connection at once

A caller of HTTP/1.0 that did not read within the write timeout kept an open connection after its answer had been broken off, and waited for more without end; the connection also held a file descriptor until the worker thread waited for another caller.

Cause: XNIO registers a connection that a thread waits for with a selector of that thread, and leaves it there if the wait is interrupted. Java closes a registered connection only when it is deregistered. Otherwise it shuts down the sending side meanwhile, but not if the close is to be a reset.

Change: after an interrupted write the thread waits once more, for at most 1 ms, which deregisters the connection; the close that follows takes effect at once. The cause was read from the library's code and a trace of the interrupted write.

HTTP/1.1 callers get the end of the sending side at once; their connection is deregistered now, too.

--- a/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
@@ -4,6 +4,7 @@
 import io.undertow.UndertowOptions
 import io.undertow.server.HttpServerExchange
 import io.undertow.server.handlers.BlockingHandler
+import io.undertow.server.protocol.http.HttpServerConnection
 import io.undertow.util.Headers
 import io.undertow.util.HttpString
 import io.undertow.util.Methods
@@ -19,7 +20,9 @@
 import org.xnio.Options
 import java.io.IOException
 import java.io.InputStream
+import java.io.InterruptedIOException
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
 import io.undertow.server.HttpHandler as UndertowHandler
 
 /**
@@ -188,11 +191,23 @@
                 isComplete = true
             } catch (e: IOException) {
                 log.debug("http: response aborted: {}", e.message)
+                if (e is InterruptedIOException) deregister(exchange)
             } finally {
                 if (!isComplete) exchange.connection.close()
             }
         }
 
+        // After an interrupted wait, XNIO leaves the connection registered with the selector of this thread until the thread waits
+        // again. Java does not close a registered connection, nor shut it down if its close is a reset.
+        private fun deregister(exchange: HttpServerExchange) {
+            val connection = exchange.connection as? HttpServerConnection ?: return
+            try {
+                connection.originalSinkConduit.awaitWritable(1, TimeUnit.MILLISECONDS)
+            } catch (e: IOException) {
+                log.debug("http: connection may be closed late: {}", e.message)
+            }
+        }
+
         private fun copyFlushing(exchange: HttpServerExchange, body: InputStream) {
             val out = exchange.outputStream
             val buffer = ByteArray(COPY_BUFFER_BYTES)
--- a/node/src/test/kotlin/org/godwitwick/node/http/CutAnswerTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/http/CutAnswerTest.kt
@@ -17,6 +17,7 @@
 import java.net.Socket
 import java.net.SocketException
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 
 /** Answers whose body fails midway, on kept connections and on those that end with the answer. */
 class CutAnswerTest {
@@ -34,6 +35,12 @@
         }
     }
 
+    private class EndlessBody(private val isClosed: CountDownLatch) : InputStream() {
+        override fun read(): Int = 'x'.code
+
+        override fun close() = isClosed.countDown()
+    }
+
     /** One byte, and nothing else before [end]. */
     private class WaitingBody(private val end: CountDownLatch) : InputStream() {
         private var isRead = false
@@ -58,8 +65,8 @@
         server?.close()
     }
 
-    private fun start(isClosing: Boolean = false, answer: () -> Response): Int {
-        val started = StreamingUndertow("127.0.0.1", 0, 4, isClosing = { isClosing })
+    private fun start(isClosing: Boolean = false, writeTimeoutMs: Long = 10_000, answer: () -> Response): Int {
+        val started = StreamingUndertow("127.0.0.1", 0, 4, isClosing = { isClosing }, writeTimeoutMs = writeTimeoutMs)
             .toDisconnectAwareServer { _, caller -> answer().also { caller.onDisconnect { } } }
             .start()
         server = AutoCloseable { started.stop() }
@@ -176,6 +183,17 @@
         }
     }
 
+    // Guards against a connection that stays open after its answer was broken off, so that the caller waits for more.
+    @Test
+    fun `an answer to HTTP 1_0 whose caller does not read in time ends with a reset`() {
+        val isClosed = CountDownLatch(1)
+        val port = start(writeTimeoutMs = 200) { Response(Status.OK).body(Body(EndlessBody(isClosed))) }
+        open(port, HTTP10_REQUEST).use { socket ->
+            expectThat(isClosed.await(TIMEOUT_MS.toLong(), TimeUnit.MILLISECONDS)).isTrue()
+            expectThat(receive(socket).isReset).isTrue()
+        }
+    }
+
     // Guards against a reset that discards the unsent end of a whole answer.
     @Test
     fun `a whole answer to HTTP 1_0 arrives completely although its caller reads late, has sent more or has half-closed`() {
