The body of an answer is closed even if its head cannot be written

What callers saw: no answer, as before. The request went on to count as in flight, and its share of the memory for bodies would have been held for good.

Cause: the server refuses some header names that an upstream may send, with an exception before the body was opened, so that nothing closed the body.

Change: the body is closed whatever the way in which the write ends.

UnwritableAnswerTest, before: "Expect that false: is true" after 5 s. After: the body is closed.

--- a/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
@@ -119,7 +119,9 @@
                 return
             }
             monitor.watch(exchange).use { caller ->
-                writeResponse(exchange, handler(readRequest(exchange, method), caller), caller)
+                val response = handler(readRequest(exchange, method), caller)
+                // Also closes a body whose head could not be written.
+                response.body.use { writeResponse(exchange, response, caller) }
             }
         }
 
