--- a/node/src/main/kotlin/org/godwitwick/node/peer/PeerFrame.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/PeerFrame.kt
@@ -34,4 +34,14 @@
 class PeerFrame(val header: FrameHeader, val body: ByteArray)
 
 /** Reason why a frame was refused. */
-enum class FrameRefusal { TOO_LARGE, TRUNCATED, WRONG_MAC, MALFORMED, OTHER_RECEIVER, OLD_INCARNATION, REPLAYED, WRONG_TIME }
+enum class FrameRefusal {
+    TOO_LARGE,
+    TRUNCATED,
+    WRONG_MAC,
+    MALFORMED,
+    OTHER_RECEIVER,
+    OLD_INCARNATION,
+    REPLAYED,
+    WRONG_TIME,
+    NO_MEMORY,
+}
