Read the shared secret in the era that it is kept for

Cause: an instance read the secret first and learned the era of the store with its first registration. If the store returned from an older copy in between, the secret counted as one of the new era and was never read or written again; instances that start later would then create another one. A registration that takes longer than the pause before a restore is enough.

Change: the era is taken before the secret is read. No call more at a usual start.

That this is what happened in the failed run is likely, not shown: its log has 800 ms time-outs of the store at the start, and then the second era.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
@@ -82,14 +82,14 @@
 
     private fun announceRegularly() {
         guarded {
-            if (transport == null) readSecret()
             fleet.refresh()
-            // A store that has returned from an older copy may have no secret or another one.
-            if (secretEra != null && secretEra != fleet.era) {
-                if (fleet.plan.isReader(self.id)) onStoreRestored()
+            // Taken before the secret is read: a store that has returned from an older copy may have no secret or another one.
+            val era = fleet.era
+            if (transport == null || secretEra != era) {
+                if (secretEra != null && fleet.plan.isReader(self.id)) onStoreRestored()
                 readSecret()
+                if (isSecretKnown) secretEra = era
             }
-            if (isSecretKnown) secretEra = fleet.era
         }
         try {
             registration.schedule(::announceRegularly, fleet.periodMs, TimeUnit.MILLISECONDS)
