--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -22,6 +22,7 @@
 import org.godwitwick.core.forward.nextStep
 import org.godwitwick.core.forward.urgencyOf
 import org.godwitwick.node.memory.BodyShare
+import org.godwitwick.node.memory.ClosingInputStream
 import org.godwitwick.node.memory.buffersWhole
 import org.http4k.core.Body
 import org.http4k.core.Response
@@ -71,7 +72,7 @@
         class Stream(val stream: UpstreamStream) : Outcome
 
         /** An answer that is not a stream: [body] holds all of it, unless [largeBody] is set. */
-        class Single(val head: AnswerHead, val body: Buffer, val largeBody: InputStream?, val upstream: UpstreamEntry) :
+        class Single(val head: AnswerHead, val body: Buffer, val largeBody: LargeBody?, val upstream: UpstreamEntry) :
             Outcome
 
         class Failed(val failure: Failure) : Outcome
@@ -262,10 +263,7 @@
             open.close()
             Outcome.Single(open.head, body, null, upstream)
         } else {
-            val largeBody = LargeBody(open, { share.resize(body.size + it) }) {
-                endAttempt()
-                onEnd()
-            }
+            val largeBody = LargeBody(open, { share.resize(body.size + it) }, endAttempt)
             Outcome.Single(open.head, Buffer(), largeBody, upstream)
         }
     } catch (e: IOException) {
@@ -379,11 +377,15 @@
     private fun singleResponse(answer: Outcome.Single): Response {
         firstByteMs = elapsedMs()
         val response = Response(Status(answer.head.status, "")).headers(answer.head.headers)
-        if (answer.largeBody != null) return response.body(Body(answer.largeBody))
+        if (answer.largeBody != null) return response.body(Body(withEndRecorded(answer.largeBody, answer)))
         recordEnd(answer.upstream, "answered ${answer.head.status}")
         return response.header("Content-Length", answer.body.size.toString()).body(Body(answer.body.inputStream(), null))
     }
 
+    private fun withEndRecorded(body: LargeBody, answer: Outcome.Single): InputStream = ClosingInputStream(body) {
+        recordEnd(answer.upstream, if (body.isWhole) "answered ${answer.head.status}" else "answer broken off")
+    }
+
     private fun failedResponse(failure: Failure): Response {
         val final = adjustedForSends(failure, counts)
         recordEnd(null, "failed with ${final.kind.code}: ${final.message}")
--- a/node/src/main/kotlin/org/godwitwick/node/forward/LargeBody.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/LargeBody.kt
@@ -13,10 +13,18 @@
     private val source = open.response.body.source()
     private val input = source.inputStream()
 
-    override fun read(): Int = input.read().also { onRead(source.buffer.size) }
+    /** Whether the body was read to its end. */
+    var isWhole = false
+        private set
 
-    override fun read(target: ByteArray, offset: Int, length: Int): Int =
-        input.read(target, offset, length).also { onRead(source.buffer.size) }
+    override fun read(): Int = input.read().also(::onRead)
+
+    override fun read(target: ByteArray, offset: Int, length: Int): Int = input.read(target, offset, length).also(::onRead)
+
+    private fun onRead(result: Int) {
+        if (result < 0) isWhole = true
+        onRead(source.buffer.size)
+    }
 
     override fun close() {
         open.close()
