Own path: don't record a part of a service's answer as its outcome

What callers would see: 200 with a part of an answer, and the same part again for each repeat of a call under its key.

Test: ServiceClientTest, 2 of 2 failed before (`is null`), pass after.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/AnswerCheck.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/AnswerCheck.kt
@@ -6,7 +6,6 @@
 internal object AnswerCheck {
     private const val STATUS_LINE_START = "HTTP/1."
     private val SUCCESS = 200..299
-    private val BODILESS_STATUSES = setOf(204, 304)
 
     /** To callers these statuses mean that the request was not executed. */
     val NOT_EXECUTED_STATUSES = setOf(408, 421, 429, 503)
@@ -17,10 +16,6 @@
      */
     fun containsAnotherHead(response: Response): Boolean = STATUS_LINE_START in response.message || "" in response.headers.names()
 
-    /** Whether the end of [response] is known from its head or its chunks, as opposed to the end of its connection. */
-    fun statesItsEnd(response: Response): Boolean =
-        response.code in BODILESS_STATUSES || AnswerFraming.of(response) != AnswerFraming.CONNECTION
-
     /** Returns why the answer with [head] must not be passed on as the answer to [call], or null if it may be. */
     fun faultOf(call: UpstreamCall, head: AnswerHead): String? = when {
         // An additional answer on a kept connection may name no request.
--- a/node/src/main/kotlin/org/godwitwick/node/forward/EventRelay.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/EventRelay.kt
@@ -1,6 +1,7 @@
 package org.godwitwick.node.forward
 
 import org.godwitwick.node.http.ChunkedInputStream
+import org.godwitwick.node.upstream.MalformedAnswerException
 import java.io.IOException
 
 /**
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -9,6 +9,9 @@
 import okhttp3.Response
 import org.godwitwick.core.forward.AttemptEnd
 import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.node.upstream.AnswerFraming
+import org.godwitwick.node.upstream.FramingInterceptor
+import org.godwitwick.node.upstream.MalformedAnswerException
 import org.godwitwick.node.upstream.OneShotBody
 import org.godwitwick.node.upstream.WriteFailureListener
 import org.godwitwick.node.upstream.WriteGate
@@ -196,7 +199,7 @@
 
     // Returns how the send has ended if the end of the answer will not be known, otherwise null.
     private fun brokenEndOf(response: Response, gate: WriteGate): AttemptEnd? {
-        if (!gate.hasWriteFailed || AnswerCheck.statesItsEnd(response)) return null
+        if (!gate.hasWriteFailed || AnswerFraming.statesItsEnd(response)) return null
         return AttemptEnd.Broken("the connection was lost while the request was written", isConnectionLost = true)
     }
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -24,6 +24,8 @@
 import org.godwitwick.node.memory.BodyShare
 import org.godwitwick.node.memory.ClosingInputStream
 import org.godwitwick.node.memory.buffersWhole
+import org.godwitwick.node.upstream.AnswerFraming
+import org.godwitwick.node.upstream.MalformedAnswerException
 import org.http4k.core.Body
 import org.http4k.core.Response
 import org.http4k.core.Status
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ServerEvent.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ServerEvent.kt
@@ -3,14 +3,12 @@
 import okio.BufferedSource
 import okio.ByteString
 import okio.ByteString.Companion.encodeUtf8
+import org.godwitwick.node.upstream.MalformedAnswerException
 import java.io.IOException
 
 /** A complete server-sent event; [id] is null if it has none, and [bytes] include the blank line that ends it. */
 class ServerEvent(val id: Long?, val bytes: ByteString)
 
-/** Thrown for bytes that are not an answer; the connection itself is sound. */
-class MalformedAnswerException(message: String) : IOException(message)
-
 /** Reads whole server-sent events from [source]. */
 class EventReader(private val source: BufferedSource) {
     /**
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/AnswerFraming.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/AnswerFraming.kt
@@ -1,4 +1,4 @@
-package org.godwitwick.node.forward
+package org.godwitwick.node.upstream
 
 import okhttp3.Response
 
@@ -12,6 +12,11 @@
     ;
 
     companion object {
+        private val BODILESS_STATUSES = setOf(204, 304)
+
+        /** Whether the end of [response] is known from its head or its chunks, as opposed to the end of its connection. */
+        fun statesItsEnd(response: Response): Boolean = response.code in BODILESS_STATUSES || of(response) != CONNECTION
+
         /** The framing of [response]; chunks have precedence over a length. */
         fun of(response: Response): AnswerFraming = when {
             response.header("Transfer-Encoding").equals("chunked", ignoreCase = true) -> CHUNKS
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/ServiceClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ServiceClient.kt
@@ -44,6 +44,8 @@
         .followRedirects(false)
         .protocols(listOf(Protocol.HTTP_1_1))
         .addNetworkInterceptor(WriteGateInterceptor)
+        .addNetworkInterceptor(FramingInterceptor)
+        .eventListener(WriteFailureListener())
         .build()
 
     // On an idle connection that the service has closed, a call would fail after its first byte, with an unknown outcome. There
@@ -92,6 +94,10 @@
             log.warn("http: service at {} answered request {} with the answer to another", sent.request().url.host, call.id)
             return Err("the service answered another request")
         }
+        if (gate.hasWriteFailed && !AnswerFraming.statesItsEnd(response)) {
+            sent.cancel()
+            return Err("the connection to the service was lost while the call was written")
+        }
         val headers = response.headers.toList() + listOfNotNull(gate.retryAfter?.let { "Retry-After" to it })
         val source = response.body.source()
         // An answer without a body may state the length of the one it stands for.
--- a/node/src/test/kotlin/org/godwitwick/node/upstream/AnswerFramingTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/upstream/AnswerFramingTest.kt
@@ -1,4 +1,4 @@
-package org.godwitwick.node.forward
+package org.godwitwick.node.upstream
 
 import okhttp3.Protocol
 import okhttp3.Request
