Don't count an early answer without an end as a crash of its upstream

Found by the review of: an upstream that answers before it has read the request and closes its connection regularly can't be told from one that is reset. It counted as lost, so that the parts of the prompt could be quarantined on all instances after three of them.

Change: it counts as broken only. That the count of crashes changes has no test of its own.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -200,7 +200,8 @@
     // Returns how the send has ended if the end of the answer will not be known, otherwise null.
     private fun brokenEndOf(response: Response, gate: WriteGate): AttemptEnd? {
         if (!gate.hasWriteFailed || AnswerFraming.statesItsEnd(response)) return null
-        return AttemptEnd.Broken("the connection was lost while the request was written", isConnectionLost = true)
+        // An upstream that answers without reading the request and closes regularly looks the same, so this is no sign of a crash.
+        return AttemptEnd.Broken("the connection was lost while the request was written")
     }
 
     // Only an instance itself states how a relayed request has ended.
