--- a/node/src/main/kotlin/org/godwitwick/node/memory/RequestBodyReader.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/memory/RequestBodyReader.kt
@@ -19,14 +19,8 @@
     if (statedBytes != null && statedBytes > limitBytes) return Err(tooLarge(limitBytes))
     if (statedBytes != null && !share.resize(statedBytes)) return Err(bodyMemoryExhausted)
     return try {
-        request.body.stream.use {
-            if (statedBytes ==
-                null
-            ) {
-                readUnstated(it, limitBytes, share)
-            } else {
-                readStated(it, statedBytes.toInt())
-            }
+        request.body.stream.use { input ->
+            statedBytes?.let { readStated(input, it.toInt()) } ?: readUnstated(input, limitBytes, share)
         }
     } catch (e: IOException) {
         Err(Failure(ErrorKind.BAD_REQUEST, "the request body could not be read: ${e.message}"))
