ServiceClientTest: count a call before it is answered

Traced: the stand-in counted the call after it had written the answer, so that the client could be done before. What the test expects is unchanged.

--- a/node/src/test/kotlin/org/godwitwick/node/upstream/ServiceClientTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/upstream/ServiceClientTest.kt
@@ -25,7 +25,7 @@
         receiveBufferSize = WINDOW_BYTES
         bind(InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
     }
-    private val answered = AtomicInteger()
+    private val reached = AtomicInteger()
     private val memory = BodyMemory(limitBytes = 64L shl 20) { 0 }
     private val client = ServiceClient(noRetryClientBuilder().build())
 
@@ -38,8 +38,8 @@
                 listener.accept().use { socket ->
                     val lines = generateSequence { readLine(socket) }
                     lines.takeWhile { it.isNotEmpty() }.last()
+                    reached.incrementAndGet()
                     answer(socket)
-                    answered.incrementAndGet()
                 }
             } catch (_: IOException) {
                 continue
@@ -63,14 +63,14 @@
             socket.setSoLinger(true, 0)
         }
         expectThat(send(CALL_BYTES)).isNull()
-        expectThat(answered.get()).isEqualTo(1)
+        expectThat(reached.get()).isEqualTo(1)
     }
 
     @Test
     fun `an answer whose length cannot be read is no answer`() {
         serve { it.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 1O\r\n\r\npart".toByteArray()) }
         expectThat(send(0)).isNull()
-        expectThat(answered.get()).isEqualTo(1)
+        expectThat(reached.get()).isEqualTo(1)
     }
 
     private companion object {
