Confirm the shared secret once the era of the store is known

Traced to: an instance registered before it had read the secret, so that the test's wait for the registration no longer meant that the secret was in use; the store returned to its copy between the write of the secret and its confirmation. An instance that is listed before it listens for others would also be asked in vain, as a reader for instance.

Change: the secret is read before the first registration again, and once more when that has told the era: one call more at each start.

Tests unchanged: RestoredStoreTest 7 of 7, also the one that failed before; RelayTest and RegisteredFleetTest.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
@@ -82,10 +82,12 @@
 
     private fun announceRegularly() {
         guarded {
+            if (transport == null) readSecret()
             fleet.refresh()
-            // Taken before the secret is read: a store that has returned from an older copy may have no secret or another one.
+            // A store that has returned from an older copy may have no secret or another one. Its era is known once this instance has
+            // registered, so that the secret read before is confirmed.
             val era = fleet.era
-            if (transport == null || secretEra != era) {
+            if (secretEra != era) {
                 if (secretEra != null && fleet.plan.isReader(self.id)) onStoreRestored()
                 readSecret()
                 if (isSecretKnown) secretEra = era
