--- a/lab/src/test/kotlin/org/godwitwick/lab/LargeAnswersTest.kt
+++ b/lab/src/test/kotlin/org/godwitwick/lab/LargeAnswersTest.kt
@@ -108,6 +108,7 @@
             out.write("HTTP/1.1 200 OK\r\nContent-Length: $ANSWER_BYTES\r\n\r\n".toByteArray())
             out.write(body, 0, ANSWER_BYTES - 1)
             out.flush()
+            // The service works on its last byte, so that all answers are held at once.
             Thread.sleep(ANSWER_MS)
             out.write(body, 0, 1)
         }
--- a/node/src/test/kotlin/org/godwitwick/node/http/CutAnswerTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/http/CutAnswerTest.kt
@@ -207,6 +207,7 @@
                     expectThat(socket.getInputStream().read()).isEqualTo('H'.code)
                     if (isHalfClosed) socket.shutdownOutput()
                     end.countDown()
+                    // The caller reads late; the server doesn't see when it does.
                     Thread.sleep(PAUSE_MS)
                     val received = receive(socket)
                     expectThat(received.isReset).isFalse()
