--- a/node/src/main/kotlin/org/godwitwick/node/config/ConfigFollower.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/config/ConfigFollower.kt
@@ -131,7 +131,7 @@
     private fun applyPage(page: LogPage, from: Long, askedAtMs: Long) {
         val knownUnreadable = store.unreadableSnapshotOffset
         val advanced = store.applyLogPage(page, from, askedAtMs)
-        if (store.unreadableSnapshotOffset != knownUnreadable) reportUnreadableSnapshot()
+        if (store.unreadableSnapshotOffset.let { it != null && it != knownUnreadable }) reportUnreadableSnapshot()
         if (advanced || !isLogReachable) notifyPeers()
         if (!isLogReachable) log().info("config: the log is reachable, applied offset is {}", store.state.appliedOffset)
         isLogReachable = true
--- a/node/src/main/kotlin/org/godwitwick/node/config/ConfigStore.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/config/ConfigStore.kt
@@ -50,7 +50,7 @@
     @Volatile
     private var lastTickMs = startMs
 
-    /** Offset of the last snapshot in the log that this version cannot read, or null if there is none. */
+    /** Offset of the last snapshot that this version cannot read, or null if the log holds none. */
     var unreadableSnapshotOffset: Long? = null
         private set
 
@@ -89,13 +89,18 @@
     fun applyLogPage(page: LogPage, requestedOffset: Long, askedAtMs: Long): Boolean {
         val from = maxOf(requestedOffset, page.earliestOffset)
         val records = page.records.map { ConfigLogRecord(it.offset, it.timeMs, it.data) }
-        records.lastOrNull { isUnreadableSnapshot(it.data) }?.let { unreadableSnapshotOffset = it.offset }
+        observeUnreadableSnapshots(page.earliestOffset, records)
         val advanced =
             advance(fold.apply(ConfigPage(from, records.lastOrNull()?.let { it.offset + 1 } ?: from, records)), records)
         observeLogEnd(LogEndObservation(page.endOffset, askedAtMs))
         return advanced
     }
 
+    private fun observeUnreadableSnapshots(earliestOffset: Long, records: List<ConfigLogRecord>) {
+        val last = records.lastOrNull { isUnreadableSnapshot(it.data) }?.offset ?: unreadableSnapshotOffset
+        unreadableSnapshotOffset = last?.takeIf { it >= earliestOffset }
+    }
+
     /** Applies a peer's answer to a pull from [fromOffset] that was sent at [askedAtMs]. Returns whether the state advanced. */
     fun applyPeerAnswer(answer: ConfigPullAnswer, fromOffset: Long, askedAtMs: Long): Boolean {
         val records = answer.records.map { ConfigLogRecord(it.offset, it.timeMs, it.data) }
--- a/node/src/test/kotlin/org/godwitwick/node/config/LaterSnapshotTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/config/LaterSnapshotTest.kt
@@ -45,4 +45,16 @@
         expectThat(store.view.integer(ConfigField.QUEUE_MAX)).isEqualTo(1)
         expectThat(store.freshness(20)).isEqualTo(Freshness.Current)
     }
+
+    // Guards against a configuration that is lost after a rollback, because no version writes snapshots any more.
+    @Test
+    fun `snapshots are written again once the log has dropped the one of a later format`() {
+        val count = SNAPSHOT_INTERVAL_RECORDS
+        (0 until count).forEach { store.applyLogPage(pageOf(record(it, queueMax("p$it", 1, expected = it - 1))), it, 10) }
+        store.applyLogPage(pageOf(LogRecord(count, count, later)), count, 10)
+        store.applyLogPage(pageOf(earliest = count, end = count + 1), count + 1, 20)
+        expectThat(store.mustWriteSnapshot(wallMs = 30, logRetentionMs = 1_000_000)).isFalse()
+        store.applyLogPage(pageOf(earliest = count + 1, end = count + 1), count + 1, 30)
+        expectThat(store.mustWriteSnapshot(wallMs = 40, logRetentionMs = 1_000_000)).isTrue()
+    }
 }
