Forget the peers whose unknown formats were logged

One entry a peer was kept for the life of the process; entries are dropped after the minute in which they suppress lines. LaterFrameTest 4 of 4 before and after: it doesn't see the size of the map.

--- a/node/src/main/kotlin/org/godwitwick/node/peer/UnknownFormatLog.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/UnknownFormatLog.kt
@@ -10,12 +10,9 @@
     /** Reports that something of [format] was received from [peer] and ignored. */
     fun report(peer: String, format: String) {
         val nowMs = monotonicMs()
-        var isDue = false
-        reportedMs.compute(peer) { _, lastMs ->
-            isDue = lastMs == null || nowMs - lastMs >= PERIOD_MS
-            if (isDue) nowMs else lastMs
-        }
-        if (isDue) log.warn("peer: {} from {} ignored, as this version does not know it", format, peer)
+        reportedMs.values.removeIf { nowMs - it >= PERIOD_MS }
+        if (reportedMs.putIfAbsent(peer, nowMs) != null) return
+        log.warn("peer: {} from {} ignored, as this version does not know it", format, peer)
     }
 
     private companion object {
