Log how each answer was received, and whether on a kept connection

The line of each answered request and stream names both now. Metrics keep their label: it ends at the colon.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -119,7 +119,7 @@
     private fun relayedHeadOf(call: RelayCall, sent: Call, response: Response, gate: WriteGate): RelayResult {
         val outcome = RelayOutcome.ofText(response.header(RelayHeaders.OUTCOME))
         val head = headOf(response, gate)
-        val open = SendResult.Open(head, response, sent)
+        val open = SendResult.Open(head, response, sent, gate)
         val end = when {
             outcome == null || head.requestId != call.request.id || head.isAmbiguous ->
                 AttemptEnd.Broken("the instance's answer is not for this request").also { open.abort() }
@@ -155,7 +155,7 @@
 
     private fun headOf(call: UpstreamCall, sent: Call, response: Response, gate: WriteGate): SendResult {
         val head = headOf(response, gate)
-        val open = SendResult.Open(head, response, sent)
+        val open = SendResult.Open(head, response, sent, gate)
         // An answer that may belong to another request, of this upstream or of an earlier one at its address, states nothing.
         if (head.requestId == call.request.id && !head.isAmbiguous) onStatement(call.upstream, head.statement)
         val fault = AnswerCheck.faultOf(call, head)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -65,7 +65,7 @@
     private var eventGapTimeoutMs: Long? = null
 
     // Of the last stream: after a resumption it is another one than at the start.
-    private var streamFraming: AnswerFraming? = null
+    private var streamReceipt: String? = null
     private var lastEventMs = 0L
     private var longestPauseMs = 0L
 
@@ -74,8 +74,15 @@
         class Stream(val stream: UpstreamStream) : Outcome
 
         /** An answer that is not a stream: [body] holds all of it, unless [largeBody] is set. */
-        class Single(val head: AnswerHead, val body: Buffer, val largeBody: LargeBody?, val upstream: UpstreamEntry) :
-            Outcome
+        class Single(
+            val head: AnswerHead,
+            val body: Buffer,
+            val largeBody: LargeBody?,
+            val upstream: UpstreamEntry,
+            val receipt: String,
+        ) : Outcome {
+            val description: String get() = "answered ${head.status}: $receipt"
+        }
 
         class Failed(val failure: Failure) : Outcome
     }
@@ -256,17 +263,17 @@
                 throw MalformedAnswerException("the stream has no event and no end")
             }
             progress?.onPrefillDone()
-            streamFraming = open.framing
+            streamReceipt = open.receipt
             eventGapTimeoutMs = context.streamTimeouts.eventGapTimeoutMs(route, counts.mayHaveRun)
             guard.restartSilenceTimer(eventGapTimeoutMs, Clocks.steadyMs())
             Outcome.Stream(UpstreamStream(open.head, upstream, first, open, reader, endAttempt))
         } else if (buffersWhole(source)) {
             val body = Buffer().apply { writeAll(source) }
             open.close()
-            Outcome.Single(open.head, body, null, upstream)
+            Outcome.Single(open.head, body, null, upstream, open.receipt)
         } else {
             val largeBody = LargeBody(open, { share.resize(body.size + it) }, endAttempt)
-            Outcome.Single(open.head, Buffer(), largeBody, upstream)
+            Outcome.Single(open.head, Buffer(), largeBody, upstream, open.receipt)
         }
     } catch (e: IOException) {
         lastEnd = brokenBy(e)
@@ -347,7 +354,7 @@
         firstByteMs = elapsedMs()
         val relay = EventRelay(stream, request.lastEventId, ::resume, ::onEventPassed) { cause ->
             if (cause == null) crashes.onStreamComplete()
-            recordEnd(stream.upstream, "stream ${cause?.let { "broken: $it" } ?: "complete: framed by ${streamFraming?.text}"}")
+            recordEnd(stream.upstream, "stream ${cause?.let { "broken: $it" } ?: "complete: $streamReceipt"}")
         }
         return Response(Status(stream.head.status, "")).headers(stream.head.headers).body(Body(relay))
     }
@@ -380,12 +387,12 @@
         firstByteMs = elapsedMs()
         val response = Response(Status(answer.head.status, "")).headers(answer.head.headers)
         if (answer.largeBody != null) return response.body(Body(withEndRecorded(answer.largeBody, answer)))
-        recordEnd(answer.upstream, "answered ${answer.head.status}")
+        recordEnd(answer.upstream, answer.description)
         return response.header("Content-Length", answer.body.size.toString()).body(Body(answer.body.inputStream(), null))
     }
 
     private fun withEndRecorded(body: LargeBody, answer: Outcome.Single): InputStream = ClosingInputStream(body) {
-        recordEnd(answer.upstream, if (body.isWhole) "answered ${answer.head.status}" else "answer broken off")
+        recordEnd(answer.upstream, if (body.isWhole) answer.description else "answer broken off")
     }
 
     private fun failedResponse(failure: Failure): Response {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/SendResult.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/SendResult.kt
@@ -4,14 +4,19 @@
 import okhttp3.Response
 import org.godwitwick.core.forward.AttemptEnd
 import org.godwitwick.node.upstream.AnswerFraming
+import org.godwitwick.node.upstream.WriteGate
 
 /** Result of one send. */
 sealed interface SendResult {
     /** The head of an answer has arrived; [close] ends the call. */
-    class Open(val head: AnswerHead, val response: Response, private val call: Call) : SendResult {
+    class Open(val head: AnswerHead, val response: Response, private val call: Call, private val gate: WriteGate) : SendResult {
         /** How the upstream states the end of the body. */
         val framing: AnswerFraming = AnswerFraming.of(response)
 
+        /** How the answer was received, for logs. */
+        val receipt: String
+            get() = "framed by ${framing.text} on a ${if (gate.isOnKeptConnection) "kept" else "new"} connection"
+
         /** Ends the call; its connection is reused only if the whole body was read. */
         fun close() = response.close()
 
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/ReceiveLimit.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ReceiveLimit.kt
@@ -29,11 +29,16 @@
     private val input by lazy { LimitedInput(super.getInputStream()) }
     private var tail = ResponseTail()
 
+    /** Whether a response has been received on this socket, or its receipt has begun. */
+    var wasUsed = false
+        private set
+
     constructor() : this(ChannelSocketImpl())
 
     /** Starts to receive the response to the next request; the result follows its bytes. */
     fun beginResponse(): ResponseTail {
         onBodyRead()
+        wasUsed = true
         return ResponseTail().also { tail = it }
     }
 
@@ -125,6 +130,7 @@
 
     override fun intercept(chain: Interceptor.Chain): Response {
         val socket = chain.connection()?.socket() as? LimitedSocket
+        if (socket != null) chain.request().tag(WriteGate::class.java)?.isOnKeptConnection = socket.wasUsed
         val tail = socket?.beginResponse()
         val response = chain.proceed(chain.request())
         if (socket == null || tail == null) return response
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/WriteGate.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/WriteGate.kt
@@ -23,6 +23,11 @@
     var hasWriteFailed = false
         private set
 
+    /** Whether the call was sent on a connection that had carried another one before. */
+    @Volatile
+    var isOnKeptConnection = false
+        internal set
+
     /** The value of the `Retry-After` header that was removed from a 503 answer, or null. */
     @Volatile
     var retryAfter: String? = null
--- a/node/src/test/kotlin/org/godwitwick/node/forward/EventRelayTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/EventRelayTest.kt
@@ -7,6 +7,7 @@
 import okio.Buffer
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.model.InstanceId
+import org.godwitwick.node.upstream.WriteGate
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.assertThrows
 import strikt.api.expectThat
@@ -27,7 +28,7 @@
         val head = AnswerHead(200, "r", isSigned = true, isNotExecuted = false, isEncoded = false, null, null, emptyList())
         val reader = EventReader(Buffer().writeUtf8(text))
         val entry = UpstreamEntry(InstanceId("e"), "model", "10.0.0.1:80", "a", 11, false, 1)
-        return UpstreamStream(head, entry, reader.next(), SendResult.Open(head, response, call), reader) { }
+        return UpstreamStream(head, entry, reader.next(), SendResult.Open(head, response, call, WriteGate()), reader) { }
     }
 
     private fun relay(first: String, second: String?, lastEventId: Long? = null) = EventRelay(
