Read the heads of answers strictly, before OkHttp does

Cause: OkHttp reads heads leniently. The check of what it had made of them knew one order of the headers only: a status line inside the value of a header that comes before all single headers leaves nothing that stands twice.

Change: ResponseInput follows the received bytes of all clients and passes a response on only once its head is sound by RFC 9112 (core.http): a status line, fields with a token as name and no status line inside, an empty line. It hands out the bytes of the response only, so that bytes behind an answer, also one in chunks, never meet the next request. This replaces containsAnotherHead and ResponseTail.

--- /dev/null
+++ b/core/src/main/kotlin/org/godwitwick/core/http/ResponseReader.kt
@@ -0,0 +1,97 @@
+package org.godwitwick.core.http
+
+/**
+ * Follows the bytes that a server sends as the response to one request, strictly by RFC 9112, and tells where it ends and whether it is
+ * one response. A faulty server may stop within a response and send another one on the same connection. Not thread safe.
+ *
+ * @param method method of the request.
+ */
+class ResponseReader(private val method: String) {
+    private var headReader = ResponseHeadReader()
+    private val chunks = ChunkReader()
+    private var bodyBytesLeft = 0L
+
+    /** The head of the final response, or null as long as it is not complete. */
+    var head: ResponseHead? = null
+        private set
+
+    /** How many of the bytes read so far belong to a head that is not complete. */
+    val incompleteHeadBytes: Int get() = if (head == null) headReader.bytesRead else 0
+
+    /** How the body ends, or null as long as the head is not complete. */
+    var framing: BodyFraming? = null
+        private set
+
+    /** Why the bytes are not one response, or null. */
+    var fault: String? = null
+        private set
+
+    /** Whether the last byte of the response has been read; never true for one that ends with its connection. */
+    val isComplete: Boolean
+        get() = when (framing) {
+            is BodyFraming.Length -> bodyBytesLeft == 0L
+            BodyFraming.Chunks -> chunks.isComplete
+            else -> false
+        }
+
+    /** Whether the body ends with the length that the head states, so that nothing in the body itself shows its end. */
+    val isEndStatedByLength: Boolean get() = framing is BodyFraming.Length
+
+    /** Reads the bytes of [buffer] from [from] to [to]. Returns the index behind the last one that belongs to the response. */
+    fun accept(buffer: ByteArray, from: Int, to: Int): Int {
+        var position = from
+        while (framing == null && fault == null && position < to) onHeadByte(buffer[position++])
+        if (fault != null || framing == null) return position
+        val bodyFrom = position
+        when (framing) {
+            is BodyFraming.Length -> {
+                position += minOf(bodyBytesLeft, (to - position).toLong()).toInt()
+                bodyBytesLeft -= position - bodyFrom
+            }
+
+            BodyFraming.Chunks -> {
+                position = chunks.accept(buffer, position, to)
+                fault = chunks.fault
+            }
+
+            else -> position = to
+        }
+        return position
+    }
+
+    private fun onHeadByte(byte: Byte) {
+        val read = headReader.accept(byte)
+        fault = headReader.fault
+        when {
+            read == null -> Unit
+
+            read.status == SWITCHING_PROTOCOLS -> fault = "the answer switches the protocol"
+
+            read.isInterim -> headReader = ResponseHeadReader()
+
+            else -> {
+                head = read
+                onFraming(BodyFraming.of(method, read))
+            }
+        }
+    }
+
+    private fun onFraming(framing: BodyFraming) {
+        this.framing = framing
+        when (framing) {
+            is BodyFraming.Length -> bodyBytesLeft = framing.bytes
+            is BodyFraming.Unreadable -> fault = framing.fault
+            BodyFraming.Chunks, BodyFraming.Connection -> Unit
+        }
+    }
+
+    companion object {
+        private const val SWITCHING_PROTOCOLS = 101
+
+        /** Whether [bytes] may be the beginning of a response. */
+        fun mayBegin(bytes: ByteArray): Boolean {
+            val text = String(bytes, 0, minOf(bytes.size, ResponseSyntax.START.length), Charsets.ISO_8859_1)
+            return ResponseSyntax.START.startsWith(text)
+        }
+    }
+}
--- a/node/src/main/kotlin/org/godwitwick/node/forward/AnswerCheck.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/AnswerCheck.kt
@@ -1,21 +1,12 @@
 package org.godwitwick.node.forward
 
-import okhttp3.Response
-
 /** Checks whether an answer is one to the request that was sent, and only that. */
 internal object AnswerCheck {
-    private const val STATUS_LINE_START = "HTTP/1."
     private val SUCCESS = 200..299
 
     /** To callers these statuses mean that the request was not executed. */
     val NOT_EXECUTED_STATUSES = setOf(408, 421, 429, 503)
 
-    /**
-     * Whether the upstream has stopped within the head of [response] and sent another one. OkHttp takes the second status line for a
-     * part of the first one or for a header without a name.
-     */
-    fun containsAnotherHead(response: Response): Boolean = STATUS_LINE_START in response.message || "" in response.headers.names()
-
     /** Returns why the answer with [head] must not be passed on as the answer to [call], or null if it may be. */
     fun faultOf(call: UpstreamCall, head: AnswerHead): String? = when {
         // An additional answer on a kept connection may name no request.
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -186,7 +186,6 @@
         dialect.decodeHead(response.code, withRetryAfter(response.headers, gate)).let { head ->
             head.copy(
                 headers = head.headers.filterNot { RelayHeaders.isOwn(it.first) },
-                isAmbiguous = head.isAmbiguous || AnswerCheck.containsAnotherHead(response),
             )
         }
 
@@ -210,7 +209,8 @@
         body: ByteArray,
         gate: WriteGate,
     ): Request {
-        val builder = Request.Builder().url(url).tag(WriteGate::class.java, gate)
+        val builder = Request.Builder().url(url)
+            .tag(WriteGate::class.java, gate)
         headers.forEach { (name, value) -> builder.addHeader(name, value) }
         // Otherwise OkHttp would add its own Accept-Encoding.
         if (headers.none { it.first.equals(ACCEPT_ENCODING, ignoreCase = true) }) builder.header(ACCEPT_ENCODING, "identity")
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/EngineClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/EngineClient.kt
@@ -122,8 +122,8 @@
         counters.stalls.increment()
         Err(EngineFailure.Stalled("no answer from the engine: ${e.message}"))
     } catch (e: IOException) {
-        val isNew = call.request().tag(ConnectionTrace::class.java)?.isNew == true
-        Err(EngineFailure.ConnectionLost("engine connection lost: ${e.message}", wasAccepted = isNew))
+        val wasAccepted = e is MalformedAnswerException || call.request().tag(ConnectionTrace::class.java)?.isNew == true
+        Err(EngineFailure.ConnectionLost("engine connection lost: ${e.message}", wasAccepted))
     }
 
     private fun reasonOf(response: Response): String = try {
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/ReceiveLimit.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ReceiveLimit.kt
@@ -23,23 +23,20 @@
  */
 internal class LimitedSocket private constructor(private val connection: ChannelSocketImpl) : Socket(connection) {
     // False until the first call of [onBodyRead]. Under TLS the client reads through another socket and never calls it, so that
-    // connections with TLS are not bounded.
+    // connections with TLS are not bounded, and their responses are not checked here.
     private var isBounded = false
     private var bytesSinceBodyRead = 0L
-    private val input by lazy { LimitedInput(super.getInputStream()) }
-    private var tail = ResponseTail()
-
-    /** Whether a response has been received on this socket, or its receipt has begun. */
-    var wasUsed = false
-        private set
+    private var input: ResponseInput? = null
 
     constructor() : this(ChannelSocketImpl())
 
-    /** Starts to receive the response to the next request; the result follows its bytes. */
-    fun beginResponse(): ResponseTail {
+    /** Whether a request was sent on this connection. */
+    val wasUsed: Boolean get() = input?.wasUsed == true
+
+    /** Starts to receive the response to the next request; see [ResponseInput.begin]. */
+    fun beginResponse(method: String) {
         onBodyRead()
-        wasUsed = true
-        return ResponseTail().also { tail = it }
+        inputStream.begin(method)
     }
 
     /** Restarts the count: the bytes received so far are accounted for by a response body or an earlier response. */
@@ -48,7 +45,8 @@
         bytesSinceBodyRead = 0
     }
 
-    override fun getInputStream(): InputStream = input
+    override fun getInputStream(): ResponseInput =
+        input ?: ResponseInput(LimitedInput(super.getInputStream())).also { input = it }
 
     /**
      * Whether nothing can be received any more. Also closes the socket if the server has closed it or sent bytes that belong to no
@@ -59,7 +57,7 @@
      */
     override fun isInputShutdown(): Boolean {
         if (super.isInputShutdown()) return true
-        if (!isBounded || isClosed || !connection.hasInput()) return false
+        if (!isBounded || isClosed || !(input?.hasExcess == true || connection.hasInput())) return false
         close()
         return true
     }
@@ -77,7 +75,6 @@
                 // The original exception has no message.
                 throw SocketException("the socket was closed, or its thread interrupted, during a read")
             }
-            if (count > 0) tail.onReceived(target, offset, count)
             count(count)
             return count
         }
@@ -119,39 +116,21 @@
     private fun unsupported(): Socket = throw UnsupportedOperationException("only unconnected sockets can be created")
 }
 
-/** Reports each read of the response body, and its end, to the [LimitedSocket] of the call. */
+/** Tells the [LimitedSocket] of a call when its response begins, and reports each read of the body to it. */
 internal object ReceiveLimitInterceptor : Interceptor {
-    // Bytes after a body belong to no request, and the next one must not read them. Only a body with a length has a known end here.
-    private fun LimitedSocket.dropIfFollowed(tail: ResponseTail, length: Long): Boolean {
-        val isFollowed = length >= 0 && tail.isFollowed(length)
-        if (isFollowed) close()
-        return isFollowed
-    }
-
     override fun intercept(chain: Interceptor.Chain): Response {
-        val socket = chain.connection()?.socket() as? LimitedSocket
-        if (socket != null) chain.request().tag(WriteGate::class.java)?.isOnKeptConnection = socket.wasUsed
-        val tail = socket?.beginResponse()
-        val response = chain.proceed(chain.request())
-        if (socket == null || tail == null) return response
+        val request = chain.request()
+        val socket = chain.connection()?.socket() as? LimitedSocket ?: return chain.proceed(request)
+        request.tag(WriteGate::class.java)?.isOnKeptConnection = socket.wasUsed
+        socket.beginResponse(request.method)
+        val response = chain.proceed(request)
         socket.onBodyRead()
         val body = response.body
-        val length = body.contentLength()
         val countedSource = object : ForwardingSource(body.source()) {
-            override fun read(sink: Buffer, byteCount: Long): Long {
-                val count = super.read(sink, byteCount)
-                socket.onBodyRead()
-                if (count < 0 && socket.dropIfFollowed(tail, length) && !tail.isFollowedByResponse(length)) {
-                    throw IOException("the body of $length bytes is followed by bytes that begin no response")
-                }
-                return count
-            }
-
-            override fun close() {
-                super.close()
-                socket.dropIfFollowed(tail, length)
-            }
+            override fun read(sink: Buffer, byteCount: Long): Long = super.read(sink, byteCount).also { socket.onBodyRead() }
         }
-        return response.newBuilder().body(countedSource.buffer().asResponseBody(body.contentType(), length)).build()
+        return response.newBuilder()
+            .body(countedSource.buffer().asResponseBody(body.contentType(), body.contentLength()))
+            .build()
     }
 }
--- /dev/null
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ResponseInput.kt
@@ -0,0 +1,93 @@
+package org.godwitwick.node.upstream
+
+import okio.Buffer
+import org.godwitwick.core.http.ResponseReader
+import java.io.InputStream
+
+/**
+ * What a client reads of the bytes in [source]: the response to the current request and nothing else. A response is passed
+ * on once its head is complete and sound; a fault in it ends the read with a [MalformedAnswerException]. Before the first request, and
+ * on connections that are used otherwise, all bytes are passed on.
+ *
+ * Used by one thread at a time.
+ */
+internal class ResponseInput(private val source: InputStream) : InputStream() {
+    private var reader: ResponseReader? = null
+
+    // Received bytes of the head, until it is complete.
+    private val held = Buffer()
+
+    // Bytes of the response that can be read.
+    private val ready = Buffer()
+
+    // Bytes behind the response.
+    private val excess = Buffer()
+
+    /** Whether a request was sent on this connection. */
+    val wasUsed: Boolean get() = reader != null
+
+    /** Whether bytes were received that belong to no response. */
+    val hasExcess: Boolean get() = excess.size > 0
+
+    /** Begins to receive the response to a request with [method]. */
+    fun begin(method: String) {
+        reader = ResponseReader(method)
+        held.clear()
+        ready.clear()
+    }
+
+    override fun read(): Int {
+        val single = ByteArray(1)
+        return if (read(single, 0, 1) < 0) -1 else single[0].toInt() and BYTE_MASK
+    }
+
+    override fun read(target: ByteArray, offset: Int, length: Int): Int {
+        if (length == 0) return 0
+        while (true) {
+            if (ready.size > 0) return ready.read(target, offset, length)
+            val reader = reader ?: return source.read(target, offset, length)
+            if (reader.isComplete) return readBehindResponse(target, offset, length)
+            val count = source.read(target, offset, length)
+            if (count < 0) return count
+            val passedOn = accept(reader, target, offset, count)
+            if (passedOn > 0) return passedOn
+        }
+    }
+
+    // Returns how many bytes at the beginning of the received ones can be read in place.
+    private fun accept(reader: ResponseReader, received: ByteArray, offset: Int, count: Int): Int {
+        val isHeadKnown = reader.head != null
+        val end = reader.accept(received, offset, offset + count)
+        reader.fault?.let { throw MalformedAnswerException(it) }
+        val responseBytes = end - offset
+        excess.write(received, end, count - responseBytes)
+        if (reader.isComplete) checkEnd(reader)
+        if (isHeadKnown) return responseBytes
+        held.write(received, offset, responseBytes)
+        // Interim responses are passed on at once: the client may wait for one before it sends the rest of its request.
+        ready.write(held, held.size - reader.incompleteHeadBytes)
+        return 0
+    }
+
+    // The rest of another response, behind a body with a length, shows that the end of the body is part of that one.
+    private fun checkEnd(reader: ResponseReader) {
+        if (!reader.isEndStatedByLength || excess.size == 0L) return
+        if (!ResponseReader.mayBegin(excess.peek().readByteArray())) {
+            throw MalformedAnswerException("the body is followed by bytes that begin no response")
+        }
+    }
+
+    private fun readBehindResponse(target: ByteArray, offset: Int, length: Int): Int {
+        val count = source.read(target, offset, length)
+        if (count > 0) excess.write(target, offset, count)
+        return -1
+    }
+
+    override fun available(): Int = ready.size.toInt() + source.available()
+
+    override fun close() = source.close()
+
+    private companion object {
+        const val BYTE_MASK = 0xff
+    }
+}
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/ServiceClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ServiceClient.kt
@@ -129,7 +129,8 @@
         }
         if (call.query.isNotEmpty()) url.encodedQuery(call.query)
         val body = if (call.method in METHODS_WITHOUT_BODY) null else OneShotBody(call.body, null)
-        val request = Request.Builder().url(url.build()).method(call.method, body).tag(WriteGate::class.java, gate)
+        val request = Request.Builder().url(url.build()).method(call.method, body)
+            .tag(WriteGate::class.java, gate)
         call.headers.forEach { (name, value) -> request.addHeader(name, value) }
         // Without this header OkHttp would request gzip.
         return request.header("Accept-Encoding", "identity").header(REQUEST_ID, call.id.value).build()
