Recognise another answer within a body

Cause: without a length and chunks the end of the connection is the only end, and a length says nothing about where its bytes come from. The check for bytes left over behind a length saw those only that came with its last byte.

Change: the bytes of each body are searched for the head of another response to the same request (same id; without ids any whole head, unless the media type carries HTTP messages). A body that ends inside such a head is broken off as well, and one whose last bytes may begin a response waits up to 50 ms for what follows.

--- a/core/src/main/kotlin/org/godwitwick/core/http/ResponseReader.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/http/ResponseReader.kt
@@ -5,10 +5,12 @@
  * one response. A faulty server may stop within a response and send another one on the same connection. Not thread safe.
  *
  * @param method method of the request.
+ * @param idHeader name of the header by which responses name their request, or null if they don't.
  */
-class ResponseReader(private val method: String) {
+class ResponseReader(private val method: String, private val idHeader: String?) {
     private var headReader = ResponseHeadReader()
     private val chunks = ChunkReader()
+    private val scanner = EmbeddedHeadScanner(::isOtherResponse)
     private var bodyBytesLeft = 0L
 
     /** The head of the final response, or null as long as it is not complete. */
@@ -37,6 +39,12 @@
     /** Whether the body ends with the length that the head states, so that nothing in the body itself shows its end. */
     val isEndStatedByLength: Boolean get() = framing is BodyFraming.Length
 
+    /**
+     * Whether the last bytes of a body with a length may be the beginning of another response. Further bytes would show that they
+     * are.
+     */
+    val mayEndWithOtherResponse: Boolean get() = framing is BodyFraming.Length && scanner.endsLikeHead
+
     /** Reads the bytes of [buffer] from [from] to [to]. Returns the index behind the last one that belongs to the response. */
     fun accept(buffer: ByteArray, from: Int, to: Int): Int {
         var position = from
@@ -56,9 +64,15 @@
 
             else -> position = to
         }
+        scanner.accept(buffer, bodyFrom, position)
+        if (scanner.hasFound) fault = "the body contains another response to the same request"
+        if (fault == null && isComplete && framing is BodyFraming.Length && scanner.endsInsideHead) fault = ENDS_INSIDE_HEAD
         return position
     }
 
+    /** Returns why the response isn't one if the connection ends now, or null. */
+    fun faultAtEnd(): String? = if (framing == BodyFraming.Connection && scanner.endsInsideHead) ENDS_INSIDE_HEAD else fault
+
     private fun onHeadByte(byte: Byte) {
         val read = headReader.accept(byte)
         fault = headReader.fault
@@ -85,8 +99,23 @@
         }
     }
 
+    // A body that stands for HTTP messages may contain heads that name no request.
+    private fun isOtherResponse(embedded: ResponseHead): Boolean {
+        val outer = head ?: return false
+        val id = idHeader?.let(outer::value)
+        if (idHeader?.let(embedded::value) != id) return false
+        return id != null || !carriesMessages(outer)
+    }
+
+    private fun carriesMessages(head: ResponseHead): Boolean {
+        val type = head.value("Content-Type")?.substringBefore(';')?.trim()?.lowercase() ?: return false
+        return type.startsWith("multipart/") || type in MESSAGE_TYPES
+    }
+
     companion object {
         private const val SWITCHING_PROTOCOLS = 101
+        private const val ENDS_INSIDE_HEAD = "the body ends inside the head of another response"
+        private val MESSAGE_TYPES = setOf("message/http", "application/http")
 
         /** Whether [bytes] may be the beginning of a response. */
         fun mayBegin(bytes: ByteArray): Boolean {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -10,6 +10,7 @@
 import org.godwitwick.core.forward.AttemptEnd
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.node.upstream.AnswerFraming
+import org.godwitwick.node.upstream.AnswerIdentity
 import org.godwitwick.node.upstream.MalformedAnswerException
 import org.godwitwick.node.upstream.OneShotBody
 import org.godwitwick.node.upstream.WriteFailureListener
@@ -211,6 +212,7 @@
     ): Request {
         val builder = Request.Builder().url(url)
             .tag(WriteGate::class.java, gate)
+            .tag(AnswerIdentity::class.java, AnswerIdentity(dialect.requestIdHeader, request.id))
         headers.forEach { (name, value) -> builder.addHeader(name, value) }
         // Otherwise OkHttp would add its own Accept-Encoding.
         if (headers.none { it.first.equals(ACCEPT_ENCODING, ignoreCase = true) }) builder.header(ACCEPT_ENCODING, "identity")
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardDialect.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardDialect.kt
@@ -15,6 +15,9 @@
 
 /** Translates between the HTTP messages of a deployment and the types of this package. It contains no decisions. */
 interface ForwardDialect {
+    /** Name of the header that holds the id of a request, in requests and in answers. */
+    val requestIdHeader: String
+
     /** Decodes the header of a caller's request. */
     fun decode(request: Request): Result<CallerRequest, Failure>
 
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/ReceiveLimit.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ReceiveLimit.kt
@@ -34,9 +34,9 @@
     val wasUsed: Boolean get() = input?.wasUsed == true
 
     /** Starts to receive the response to the next request; see [ResponseInput.begin]. */
-    fun beginResponse(method: String) {
+    fun beginResponse(method: String, identity: AnswerIdentity?) {
         onBodyRead()
-        inputStream.begin(method)
+        inputStream.begin(method, identity)
     }
 
     /** Restarts the count: the bytes received so far are accounted for by a response body or an earlier response. */
@@ -46,7 +46,7 @@
     }
 
     override fun getInputStream(): ResponseInput =
-        input ?: ResponseInput(LimitedInput(super.getInputStream())).also { input = it }
+        input ?: ResponseInput(this, LimitedInput(super.getInputStream())).also { input = it }
 
     /**
      * Whether nothing can be received any more. Also closes the socket if the server has closed it or sent bytes that belong to no
@@ -122,7 +122,7 @@
         val request = chain.request()
         val socket = chain.connection()?.socket() as? LimitedSocket ?: return chain.proceed(request)
         request.tag(WriteGate::class.java)?.isOnKeptConnection = socket.wasUsed
-        socket.beginResponse(request.method)
+        socket.beginResponse(request.method, request.tag(AnswerIdentity::class.java))
         val response = chain.proceed(request)
         socket.onBodyRead()
         val body = response.body
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/ResponseInput.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ResponseInput.kt
@@ -2,16 +2,18 @@
 
 import okio.Buffer
 import org.godwitwick.core.http.ResponseReader
+import java.io.IOException
 import java.io.InputStream
+import java.net.Socket
 
 /**
- * What a client reads of the bytes in [source]: the response to the current request and nothing else. A response is passed
+ * What a client reads from [socket], of the bytes in [source]: the response to the current request and nothing else. A response is passed
  * on once its head is complete and sound; a fault in it ends the read with a [MalformedAnswerException]. Before the first request, and
  * on connections that are used otherwise, all bytes are passed on.
  *
  * Used by one thread at a time.
  */
-internal class ResponseInput(private val source: InputStream) : InputStream() {
+internal class ResponseInput(private val socket: Socket, private val source: InputStream) : InputStream() {
     private var reader: ResponseReader? = null
 
     // Received bytes of the head, until it is complete.
@@ -30,8 +32,8 @@
     val hasExcess: Boolean get() = excess.size > 0
 
     /** Begins to receive the response to a request with [method]. */
-    fun begin(method: String) {
-        reader = ResponseReader(method)
+    fun begin(method: String, identity: AnswerIdentity?) {
+        reader = ResponseReader(method, identity?.header)
         held.clear()
         ready.clear()
     }
@@ -48,7 +50,10 @@
             val reader = reader ?: return source.read(target, offset, length)
             if (reader.isComplete) return readBehindResponse(target, offset, length)
             val count = source.read(target, offset, length)
-            if (count < 0) return count
+            if (count < 0) {
+                reader.faultAtEnd()?.let { throw MalformedAnswerException(it) }
+                return count
+            }
             val passedOn = accept(reader, target, offset, count)
             if (passedOn > 0) return passedOn
         }
@@ -71,12 +76,28 @@
 
     // The rest of another response, behind a body with a length, shows that the end of the body is part of that one.
     private fun checkEnd(reader: ResponseReader) {
+        if (excess.size == 0L && reader.mayEndWithOtherResponse) receiveExcess()
         if (!reader.isEndStatedByLength || excess.size == 0L) return
         if (!ResponseReader.mayBegin(excess.peek().readByteArray())) {
             throw MalformedAnswerException("the body is followed by bytes that begin no response")
         }
     }
 
+    // Waits for what follows the response, but only for a short time, as usually nothing does.
+    private fun receiveExcess() {
+        val timeoutMs = socket.soTimeout
+        val received = ByteArray(EXCESS_BYTES)
+        try {
+            socket.soTimeout = EXCESS_TIMEOUT_MS
+            val count = source.read(received)
+            if (count > 0) excess.write(received, 0, count)
+        } catch (_: IOException) {
+            // Nothing follows in time, or the connection was lost behind the response.
+        } finally {
+            socket.soTimeout = timeoutMs
+        }
+    }
+
     private fun readBehindResponse(target: ByteArray, offset: Int, length: Int): Int {
         val count = source.read(target, offset, length)
         if (count > 0) excess.write(target, offset, count)
@@ -89,5 +110,9 @@
 
     private companion object {
         const val BYTE_MASK = 0xff
+        const val EXCESS_BYTES = 1_024
+
+        /** Longer than a delayed acknowledgement, which can separate two packets of one response. */
+        const val EXCESS_TIMEOUT_MS = 50
     }
 }
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/ServiceClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ServiceClient.kt
@@ -131,6 +131,7 @@
         val body = if (call.method in METHODS_WITHOUT_BODY) null else OneShotBody(call.body, null)
         val request = Request.Builder().url(url.build()).method(call.method, body)
             .tag(WriteGate::class.java, gate)
+            .tag(AnswerIdentity::class.java, AnswerIdentity(REQUEST_ID, call.id.value))
         call.headers.forEach { (name, value) -> request.addHeader(name, value) }
         // Without this header OkHttp would request gzip.
         return request.header("Accept-Encoding", "identity").header(REQUEST_ID, call.id.value).build()
