Send a request again only on a connection that has not carried its id

What callers saw (by test): a request that is sent again under the same id gets the late second answer to its first send, with another status than its own run had, also "not run" for a request that runs, and the same through another instance.

Cause: the id is all that tells an answer from a late one. A second send within one request of a caller has a connection of its own; nothing remembered the sends of an earlier request with the same id on a kept connection.

PROTOCOL.md gives each attempt of a client its own id, so that this is not likely what the users saw.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -13,6 +13,7 @@
 import org.godwitwick.node.upstream.AnswerIdentity
 import org.godwitwick.node.upstream.MalformedAnswerException
 import org.godwitwick.node.upstream.OneShotBody
+import org.godwitwick.node.upstream.RepeatedRequestException
 import org.godwitwick.node.upstream.WriteFailureListener
 import org.godwitwick.node.upstream.WriteGate
 import org.godwitwick.node.upstream.WriteGateInterceptor
@@ -88,6 +89,8 @@
         onStart(sent)
         return try {
             headOf(call, sent, sent.execute(), gate)
+        } catch (_: RepeatedRequestException) {
+            send(call, body, needsNewConnection = true, guard, onStart)
         } catch (e: IOException) {
             SendResult.Ended(endOf(e, gate, guard))
         }
@@ -112,6 +115,8 @@
         onStart(sent)
         return try {
             relayedHeadOf(call, sent, sent.execute(), gate)
+        } catch (_: RepeatedRequestException) {
+            relay(call, body, needsNewConnection = true, guard, onStart)
         } catch (e: IOException) {
             RelayResult(SendResult.Ended(endOf(e, gate, guard)), null)
         }
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/ReceiveLimit.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ReceiveLimit.kt
@@ -50,14 +50,14 @@
 
     /**
      * Whether nothing can be received any more. Also closes the socket if the server has closed it or sent bytes that belong to no
-     * response.
+     * response, or if it was used for too many requests.
      *
      * OkHttp calls this, of the methods for reading, only when it takes a connection out of its pool; its own check waits for 1 ms, and
      * is made for some methods after 10 s only.
      */
     override fun isInputShutdown(): Boolean {
         if (super.isInputShutdown()) return true
-        if (!isBounded || isClosed || !(input?.hasExcess == true || connection.hasInput())) return false
+        if (!isBounded || isClosed || !(input?.isUsedUp == true || connection.hasInput())) return false
         close()
         return true
     }
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/ResponseInput.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ResponseInput.kt
@@ -4,7 +4,6 @@
 import org.godwitwick.core.http.ResponseReader
 import java.io.IOException
 import java.io.InputStream
-import java.net.Socket
 
 /**
  * What a client reads from [socket], of the bytes in [source]: the response to the current request and nothing else. A response is passed
@@ -13,7 +12,7 @@
  *
  * Used by one thread at a time.
  */
-internal class ResponseInput(private val socket: Socket, private val source: InputStream) : InputStream() {
+internal class ResponseInput(private val socket: LimitedSocket, private val source: InputStream) : InputStream() {
     private var reader: ResponseReader? = null
 
     // Received bytes of the head, until it is complete.
@@ -25,17 +24,25 @@
     // Bytes behind the response.
     private val excess = Buffer()
 
+    private val sentIds = SentRequestIds()
+
     /** Whether a request was sent on this connection. */
     val wasUsed: Boolean get() = reader != null
 
-    /** Whether bytes were received that belong to no response. */
-    val hasExcess: Boolean get() = excess.size > 0
+    /** Whether no further request may be sent: bytes were received that belong to no response, or there were too many requests. */
+    val isUsedUp: Boolean get() = excess.size > 0 || sentIds.isFull
 
-    /** Begins to receive the response to a request with [method]. */
+    /**
+     * Begins to receive the response to a request with [method].
+     *
+     * @throws RepeatedRequestException if a request with the same id was sent on this connection before.
+     */
     fun begin(method: String, identity: AnswerIdentity?) {
+        if (identity != null && identity.requestId in sentIds) throw RepeatedRequestException()
         reader = ResponseReader(method, identity?.header)
         held.clear()
         ready.clear()
+        identity?.let { sentIds.add(it.requestId) }
     }
 
     override fun read(): Int {
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/ServiceClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ServiceClient.kt
@@ -79,6 +79,8 @@
             val sent = client.newCall(requestOf(address, call, gate))
             sent.timeout().timeout(timeoutMs, TimeUnit.MILLISECONDS)
             sent.execute().use { read(sent, it, call, gate) }
+        } catch (_: RepeatedRequestException) {
+            send(unpooled, address, call, gate, timeoutMs)
         } catch (e: IOException) {
             Err("no answer from the service: ${e.message}")
         } catch (e: IllegalArgumentException) {
