Pass over late answers to earlier requests on a connection

Cause: an answer that comes late on a kept connection is read as the answer to the next request there. If its id was another one, the request failed.

Change: an answer whose id is that of an earlier request on the connection is read to its end and passed over. If it states no end, or the answer to the request itself begins within it, the send fails at once instead of waiting. The line of a request names how many answers were passed over.

--- a/core/src/main/kotlin/org/godwitwick/core/http/ResponseReader.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/http/ResponseReader.kt
@@ -6,8 +6,9 @@
  *
  * @param method method of the request.
  * @param idHeader name of the header by which responses name their request, or null if they don't.
+ * @param requestId id of the request, or null if it has none.
  */
-class ResponseReader(private val method: String, private val idHeader: String?) {
+class ResponseReader(private val method: String, private val idHeader: String?, private val requestId: String?) {
     private var headReader = ResponseHeadReader()
     private val chunks = ChunkReader()
     private val scanner = EmbeddedHeadScanner(::isOtherResponse)
@@ -65,7 +66,7 @@
             else -> position = to
         }
         scanner.accept(buffer, bodyFrom, position)
-        if (scanner.hasFound) fault = "the body contains another response to the same request"
+        if (scanner.hasFound) fault = "the body contains another response"
         if (fault == null && isComplete && framing is BodyFraming.Length && scanner.endsInsideHead) fault = ENDS_INSIDE_HEAD
         return position
     }
@@ -99,12 +100,12 @@
         }
     }
 
-    // A body that stands for HTTP messages may contain heads that name no request.
+    // A body that consists of HTTP messages may contain heads that name no request.
     private fun isOtherResponse(embedded: ResponseHead): Boolean {
         val outer = head ?: return false
-        val id = idHeader?.let(outer::value)
-        if (idHeader?.let(embedded::value) != id) return false
-        return id != null || !carriesMessages(outer)
+        val id = idHeader?.let(embedded::value)
+        if (id != null && id == requestId) return true
+        return id == idHeader?.let(outer::value) && (id != null || !carriesMessages(outer))
     }
 
     private fun carriesMessages(head: ResponseHead): Boolean {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/SendResult.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/SendResult.kt
@@ -15,7 +15,11 @@
 
         /** How the answer was received, for logs. */
         val receipt: String
-            get() = "framed by ${framing.text} on a ${if (gate.isOnKeptConnection) "kept" else "new"} connection"
+            get() {
+                val connection = if (gate.isOnKeptConnection) "kept" else "new"
+                val passedOver = gate.passedOverAnswers.let { if (it == 0) "" else " after $it late answers to other requests" }
+                return "framed by ${framing.text} on a $connection connection$passedOver"
+            }
 
         /** Ends the call; its connection is reused only if the whole body was read. */
         fun close() = response.close()
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/ReceiveLimit.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ReceiveLimit.kt
@@ -33,6 +33,9 @@
     /** Whether a request was sent on this connection. */
     val wasUsed: Boolean get() = input?.wasUsed == true
 
+    /** Answers to earlier requests that arrived late and were passed over since the last call of [beginResponse]. */
+    val passedOverCount: Int get() = input?.passedOverCount ?: 0
+
     /** Starts to receive the response to the next request; see [ResponseInput.begin]. */
     fun beginResponse(method: String, identity: AnswerIdentity?) {
         onBodyRead()
@@ -121,9 +124,11 @@
     override fun intercept(chain: Interceptor.Chain): Response {
         val request = chain.request()
         val socket = chain.connection()?.socket() as? LimitedSocket ?: return chain.proceed(request)
-        request.tag(WriteGate::class.java)?.isOnKeptConnection = socket.wasUsed
+        val gate = request.tag(WriteGate::class.java)
+        gate?.isOnKeptConnection = socket.wasUsed
         socket.beginResponse(request.method, request.tag(AnswerIdentity::class.java))
         val response = chain.proceed(request)
+        gate?.passedOverAnswers = socket.passedOverCount
         socket.onBodyRead()
         val body = response.body
         val countedSource = object : ForwardingSource(body.source()) {
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/ResponseInput.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ResponseInput.kt
@@ -1,6 +1,8 @@
 package org.godwitwick.node.upstream
 
 import okio.Buffer
+import org.godwitwick.core.http.BodyFraming
+import org.godwitwick.core.http.ResponseHead
 import org.godwitwick.core.http.ResponseReader
 import java.io.IOException
 import java.io.InputStream
@@ -13,7 +15,10 @@
  * Used by one thread at a time.
  */
 internal class ResponseInput(private val socket: LimitedSocket, private val source: InputStream) : InputStream() {
+    private var method = ""
+    private var identity: AnswerIdentity? = null
     private var reader: ResponseReader? = null
+    private var isPassedOver = false
 
     // Received bytes of the head, until it is complete.
     private val held = Buffer()
@@ -32,6 +37,10 @@
     /** Whether no further request may be sent: bytes were received that belong to no response, or there were too many requests. */
     val isUsedUp: Boolean get() = excess.size > 0 || sentIds.isFull
 
+    /** Answers to earlier requests that arrived late, since the last call of [begin]. */
+    var passedOverCount = 0
+        private set
+
     /**
      * Begins to receive the response to a request with [method].
      *
@@ -39,10 +48,18 @@
      */
     fun begin(method: String, identity: AnswerIdentity?) {
         if (identity != null && identity.requestId in sentIds) throw RepeatedRequestException()
-        reader = ResponseReader(method, identity?.header)
+        this.method = method
+        this.identity = identity
+        passedOverCount = 0
+        beginResponse()
+        identity?.let { sentIds.add(it.requestId) }
+    }
+
+    private fun beginResponse() {
+        reader = ResponseReader(method, identity?.header, identity?.requestId)
+        isPassedOver = false
         held.clear()
         ready.clear()
-        identity?.let { sentIds.add(it.requestId) }
     }
 
     override fun read(): Int {
@@ -56,7 +73,7 @@
             if (ready.size > 0) return ready.read(target, offset, length)
             val reader = reader ?: return source.read(target, offset, length)
             if (reader.isComplete) return readBehindResponse(target, offset, length)
-            val count = source.read(target, offset, length)
+            val count = if (excess.size > 0) excess.read(target, offset, length) else source.read(target, offset, length)
             if (count < 0) {
                 reader.faultAtEnd()?.let { throw MalformedAnswerException(it) }
                 return count
@@ -72,15 +89,50 @@
         val end = reader.accept(received, offset, offset + count)
         reader.fault?.let { throw MalformedAnswerException(it) }
         val responseBytes = end - offset
-        excess.write(received, end, count - responseBytes)
+        if (responseBytes < count) putBack(received, end, count - responseBytes)
         if (reader.isComplete) checkEnd(reader)
-        if (isHeadKnown) return responseBytes
-        held.write(received, offset, responseBytes)
-        // Interim responses are passed on at once: the client may wait for one before it sends the rest of its request.
-        ready.write(held, held.size - reader.incompleteHeadBytes)
+        if (isHeadKnown && !isPassedOver) return responseBytes
+        if (!isHeadKnown) {
+            held.write(received, offset, responseBytes)
+            val head = reader.head
+            if (head == null) {
+                // Interim responses are passed on at once: the client may wait for one before it sends the rest of its request.
+                ready.write(held, held.size - reader.incompleteHeadBytes)
+                return 0
+            }
+            isPassedOver = answersEarlierRequest(head)
+            if (!isPassedOver) ready.writeAll(held)
+        }
+        if (isPassedOver) passOver(reader)
         return 0
     }
 
+    // The bytes were received before those that are in the buffer.
+    private fun putBack(received: ByteArray, offset: Int, count: Int) {
+        val later = excess.copy()
+        excess.clear()
+        excess.write(received, offset, count)
+        excess.writeAll(later)
+    }
+
+    private fun passOver(reader: ResponseReader) {
+        if (reader.framing ==
+            BodyFraming.Connection
+        ) {
+            throw MalformedAnswerException("the answer to an earlier request has no end")
+        }
+        socket.onBodyRead()
+        if (!reader.isComplete) return
+        passedOverCount++
+        beginResponse()
+    }
+
+    private fun answersEarlierRequest(head: ResponseHead): Boolean {
+        val expected = identity ?: return false
+        val id = head.value(expected.header) ?: return false
+        return id != expected.requestId && id in sentIds
+    }
+
     // The rest of another response, behind a body with a length, shows that the end of the body is part of that one.
     private fun checkEnd(reader: ResponseReader) {
         if (excess.size == 0L && reader.mayEndWithOtherResponse) receiveExcess()
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/WriteGate.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/WriteGate.kt
@@ -28,6 +28,11 @@
     var isOnKeptConnection = false
         internal set
 
+    /** How many late answers to earlier requests were passed over before the answer to the call. */
+    @Volatile
+    var passedOverAnswers = 0
+        internal set
+
     /** The value of the `Retry-After` header that was removed from a 503 answer, or null. */
     @Volatile
     var retryAfter: String? = null
