Continue a read of the store that ends before the end offset

What callers saw: nothing known. A read of changes without a length and without chunks whose connection ends between two records passed for a whole one. The missing records were read after the next pause only, and meanwhile the configuration and the registrations counted as complete as of the read, or as of the end of its wait if the first record was missing. A revoked key or a leaving upstream could stay in use for longer. The same holds for answers that the store ends at its size limit.

Change: the page carries the end offset. StoreReader reads on at once, with no wait, until it has the records up to the end offset of the first answer; only then the time of the first request is proven. A page below the end offset without any record is a failure, so that a store that delivers nothing is not asked without a pause. Nothing depends on the size limit or on the size of records. Offsets number records without gaps, also in keyed topics: a read states no offsets of its own for its records, and records are deleted from the beginning only (410).

--- a/node/src/main/kotlin/org/godwitwick/node/forward/FeedReader.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FeedReader.kt
@@ -74,10 +74,29 @@
         val hasFailed = failures > 0
         val allowedMs = if (hasFailed) 0 else waitMs
         val allowedAnswerMs = if (hasFailed) maxOf(answerMs, SLOW_ANSWER_MS) else answerMs
-        val page = feed.changes(from.offset, allowedMs, allowedAnswerMs).getOrElse { return Err(it) }
+        val page = changesUpToEnd(from, allowedMs, allowedAnswerMs).getOrElse { return Err(it) }
+        return Ok(FeedRead(page.records, page.next, isSnapshot = false, provenAt(sentAt, allowedMs, page), onAnswer(page.era)))
+    }
+
+    // An answer has only the first records if there are too many for it, or if its connection ended between two records.
+    private fun changesUpToEnd(from: FeedPosition, waitMs: Long, answerMs: Long): Result<StoredPage, FeedFailure> {
+        var page = changesInEra(from, waitMs, answerMs).getOrElse { return Err(it) }
+        val records = page.records.toMutableList()
+        val endOffset = page.endOffset
+        while (page.nextOffset < endOffset) {
+            // A store or a connection that delivers nothing must not be asked again without a pause.
+            if (page.records.isEmpty()) return Err(FeedFailure.Unreachable("the answer ends at ${page.nextOffset} of $endOffset"))
+            page = changesInEra(page.next, waitMs = 0, answerMs).getOrElse { return Err(it) }
+            records += page.records
+        }
+        return Ok(StoredPage(records, page.nextOffset, page.era))
+    }
+
+    private fun changesInEra(from: FeedPosition, waitMs: Long, answerMs: Long): Result<StoredPage, FeedFailure> {
+        val page = feed.changes(from.offset, waitMs, answerMs).getOrElse { return Err(it) }
         // The offset is from another numbering, so records before it may be new.
         if (page.era != from.era) return Err(FeedFailure.HistoryDropped("the store went from era ${from.era} to ${page.era}"))
-        return Ok(FeedRead(page.records, page.next, isSnapshot = false, provenAt(sentAt, allowedMs, page), onAnswer(page.era)))
+        return Ok(page)
     }
 
     // A read that waited for the whole time and found nothing proves that there was nothing at the end of the wait.
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RecordFeed.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RecordFeed.kt
@@ -10,8 +10,10 @@
  *
  * @property nextOffset offset after the last record.
  * @property era number of times that the store has returned from an older copy. Offsets of different eras are unrelated.
+ * @property endOffset offset after the last record that the store had. There are more records than the page has if it is greater than
+ *   [nextOffset].
  */
-class StoredPage(val records: List<StoredRecord>, val nextOffset: Long, val era: Long = 0)
+class StoredPage(val records: List<StoredRecord>, val nextOffset: Long, val era: Long = 0, val endOffset: Long = nextOffset)
 
 /** Place in a feed of the store: offsets count anew in each [era]. */
 data class FeedPosition(val era: Long, val offset: Long)
@@ -37,8 +39,8 @@
     fun newest(): Result<StoredPage, FeedFailure>
 
     /**
-     * Reads the records from [fromOffset] on; if there are none, waits up to [waitMs] for one. Fails if there is no answer within
-     * [answerMs] after that wait.
+     * Reads the records from [fromOffset] on, or the first of them; if there are none, waits up to [waitMs] for one. Fails if there is
+     * no answer within [answerMs] after that wait.
      */
     fun changes(fromOffset: Long, waitMs: Long, answerMs: Long): Result<StoredPage, FeedFailure>
 
