Read up to the close of a caller that has sent requests in advance

What callers saw: nothing; upstreams went on working for callers that had pipelined several KiB and left.

Cause: the monitor read 1,024 bytes from a connection at each look, once in 150 ms. The close is behind the bytes that were sent before it, so that the close behind 15 KiB was seen after 15 looks, more than two seconds; the rule GONE sets half a second.

Change: each look reads until nothing is there, the connection has ended, or the limit of 16 KiB for bytes of next requests is reached.

Result: CallerMonitorTest "a caller that left after it had sent many requests in advance ..." failed before and passes now (mvn -B -ntp -o -q -pl node -am -Dtest=CallerMonitorTest -Dsurefire.failIfNoSpecifiedTests=false test).

--- a/node/src/main/kotlin/org/godwitwick/node/http/CallerMonitor.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/CallerMonitor.kt
@@ -58,18 +58,25 @@
             // Until the request is complete, bytes on the connection belong to its body.
             if (isEnded || !exchange.isRequestComplete || exchange.isResponseComplete) return
             val buffer = ByteBuffer.allocate(PEEK_BYTES)
-            val count = try {
-                connection.originalSourceConduit.read(buffer)
-            } catch (_: IOException) {
-                END_OF_STREAM
-            }
-            if (count > 0) keep(buffer.flip())
-            if (count == END_OF_STREAM) {
-                close()
-                action?.invoke()
+            // The close of the connection is behind all bytes that were sent before it.
+            while (!isEnded) {
+                val count = read(buffer.clear())
+                if (count == 0) return
+                if (count > 0) keep(buffer.flip()) else onEndOfStream()
             }
         }
 
+        private fun read(buffer: ByteBuffer): Int = try {
+            connection.originalSourceConduit.read(buffer)
+        } catch (_: IOException) {
+            END_OF_STREAM
+        }
+
+        private fun onEndOfStream() {
+            close()
+            action?.invoke()
+        }
+
         // These bytes belong to the caller's next requests. The connection may hold some that arrived earlier, together with this
         // request; it would put bytes that are returned to it in front of those.
         private fun keep(read: ByteBuffer) {
--- a/node/src/test/kotlin/org/godwitwick/node/http/CallerMonitorTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/http/CallerMonitorTest.kt
@@ -161,6 +161,44 @@
         }
     }
 
+    // Guards against work that goes on for a caller that has left, because its later requests are read piece by piece first.
+    @Test
+    fun `a caller that left after it had sent many requests in advance is noticed by the first look at its connection`() {
+        val isBusy = CountDownLatch(1)
+        val seen = CompletableFuture<Boolean>()
+        val inFlight = InFlightExchanges()
+        val server = StreamingUndertow("127.0.0.1", 0, 1, inFlight = inFlight).toDisconnectAwareServer { request, caller ->
+            if (request.uri.path == "/busy") {
+                isBusy.countDown()
+                release.await(WAIT_S, TimeUnit.SECONDS)
+            } else {
+                val isGone = AtomicBoolean()
+                caller.onDisconnect { isGone.set(true) }
+                seen.complete(isGone.get())
+            }
+            Response(Status.OK).header("Content-Length", "0")
+        }
+        server.start()
+        try {
+            Socket("127.0.0.1", server.port()).use { busy ->
+                busy.getOutputStream().write("GET /busy HTTP/1.1\r\nHost: a\r\n\r\n".toByteArray())
+                isBusy.await(WAIT_S, TimeUnit.SECONDS)
+                Socket("127.0.0.1", server.port()).use {
+                    val request = "GET /left HTTP/1.1\r\nHost: a\r\n\r\n"
+                    it.getOutputStream().write(request.toByteArray())
+                    // The server reads the first request by itself; the others stay in the kernel.
+                    while (inFlight.count < 2) Thread.onSpinWait()
+                    it.getOutputStream().write(request.repeat(ADVANCE_BYTES / request.length).toByteArray())
+                }
+                release.countDown()
+                expectThat(seen.get(WAIT_S, TimeUnit.SECONDS)).isTrue()
+            }
+        } finally {
+            release.countDown()
+            server.stop()
+        }
+    }
+
     private fun Socket.readAnswer(): String {
         val head = generateSequence { readLine() }.takeWhile { it.isNotEmpty() }.toList()
         val length = head.first { it.startsWith("Content-Length", ignoreCase = true) }.substringAfter(':').trim().toInt()
@@ -170,5 +208,6 @@
     private companion object {
         const val WAIT_S = 20L
         const val BODY = "0123456789"
+        const val ADVANCE_BYTES = 15 * 1_024
     }
 }
