Send each answer at once to callers that pipeline

Cause: io.undertow.Undertow sets BUFFER_PIPELINED_DATA unless told otherwise. While the connection holds bytes of a next request, answers go through PipeliningBufferingStreamSinkConduit, whose flush does nothing before the last answer, and whose content is lost if the connection is closed.

Change: the option is off.

--- a/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
@@ -67,6 +67,8 @@
             .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, maxBodyBytes)
             .setServerOption(UndertowOptions.MAX_HEADER_SIZE, maxHeaderBytes)
             .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, true)
+            // Otherwise an answer to a caller that has pipelined a request is held back until the next answer is complete.
+            .setServerOption(UndertowOptions.BUFFER_PIPELINED_DATA, false)
             .setHandler(countExchanges(BlockingHandler(exchanges)))
         idleTimeoutMs?.let { builder.setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, it) }
         headerTimeoutMs?.let { builder.setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, it) }
--- a/node/src/test/kotlin/org/godwitwick/node/http/CutAnswerTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/http/CutAnswerTest.kt
@@ -218,6 +218,18 @@
         }
     }
 
+    // Guards against the loss of what was sent of an answer before it failed: a caller may take that for an unread request.
+    @Test
+    fun `the part of an answer that is shorter than its length arrives, also if the caller has pipelined a request`() {
+        for (request in listOf(REQUEST, REQUEST + REQUEST)) {
+            val port = start { Response(Status.OK).body(Body("part".byteInputStream(), PART_BYTES * 2L)) }
+            val received = receive(port, request)
+            expectThat(received.head).contains("content-length: ${PART_BYTES * 2}")
+            expectThat(received.text.substringAfter("\r\n\r\n")).isEqualTo("part")
+            close()
+        }
+    }
+
     private companion object {
         const val TIMEOUT_MS = 10_000
         const val REQUEST = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
--- a/node/src/test/kotlin/org/godwitwick/node/http/PipelinedRequestsTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/http/PipelinedRequestsTest.kt
@@ -9,9 +9,11 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import java.io.BufferedInputStream
+import java.io.InputStream
 import java.net.Socket
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.LinkedBlockingQueue
 import kotlin.concurrent.thread
 import kotlin.random.Random
 
@@ -86,6 +88,68 @@
         expectThat(ran.toMap()).isEqualTo(sent.flatten().associate { it.id to it.body })
     }
 
+    // Guards against a buffer for answers to pipelined requests, in which an answer waits until the next one is complete.
+    @Test
+    fun `an answer arrives before the next pipelined request is answered`() = withStreams { socket, input, parts ->
+        socket.getOutputStream().write((PLAIN + STREAM).toByteArray())
+        expectThat(readAnswer(input)).isEqualTo("plain")
+        parts += listOf("1", "")
+        expectThat(readStream(input)).isEmpty()
+    }
+
+    // Guards against parts of a stream that wait in such a buffer.
+    @Test
+    fun `each part of a stream arrives at once, also if the caller has pipelined a request`() = withStreams {
+            socket,
+            input,
+            parts,
+        ->
+        socket.getOutputStream().write((STREAM + PLAIN).toByteArray())
+        // Each part is produced only after the one before it has arrived.
+        for (part in listOf("1", "2", "3")) {
+            parts += part
+            while (readLine(input) != part) Unit
+        }
+        parts += ""
+        expectThat(readStream(input)).isEmpty()
+        expectThat(readAnswer(input)).isEqualTo("plain")
+    }
+
+    private fun withStreams(play: (Socket, BufferedInputStream, LinkedBlockingQueue<String>) -> Unit) {
+        val parts = LinkedBlockingQueue<String>()
+        val streaming = StreamingUndertow("127.0.0.1", 0, 2).toDisconnectAwareServer { request, caller ->
+            caller.onDisconnect { }
+            val body = if (request.uri.path == "/plain") Body("plain") else Body(PartsBody(parts), null)
+            Response(Status.OK).body(body)
+        }.start()
+        try {
+            Socket("127.0.0.1", streaming.port()).use { socket ->
+                socket.soTimeout = TIMEOUT_MS / 2
+                play(socket, BufferedInputStream(socket.getInputStream()), parts)
+            }
+        } finally {
+            parts += ""
+            streaming.stop()
+        }
+    }
+
+    /** Reads up to the last chunk and returns the line after it. */
+    private fun readStream(input: BufferedInputStream): String {
+        while (readLine(input) != "0") Unit
+        return readLine(input)
+    }
+
+    /** Delivers each of [parts] as soon as it is there, up to an empty one. */
+    private class PartsBody(private val parts: LinkedBlockingQueue<String>) : InputStream() {
+        override fun read(): Int = error("only reads into an array are supported")
+
+        override fun read(target: ByteArray, offset: Int, length: Int): Int {
+            val part = parts.take().toByteArray()
+            part.copyInto(target, offset)
+            return if (part.isEmpty()) -1 else part.size
+        }
+    }
+
     private companion object {
         const val CONNECTIONS = 8
         const val REQUESTS = 14
@@ -95,5 +159,7 @@
         const val MAX_PAUSE_MS = 120L
         const val TIMEOUT_MS = 20_000
         const val SEED = 39_001
+        const val PLAIN = "GET /plain HTTP/1.1\r\nHost: a\r\n\r\n"
+        const val STREAM = "GET /stream HTTP/1.1\r\nHost: a\r\n\r\n"
     }
 }
