Let callers receive the end of the last answer on a connection

Cause: Undertow ends its own direction and waits for the end of the other one, but closes the connection at the first byte that comes instead. The kernel resets a connection that is closed with unread bytes, and a reset discards what the caller has not received.

Change: LingeringClose ends the answer's direction, and reads and discards what comes until the caller closes, up to 1 MiB and for the write timeout at most. Exchanges count as complete before it, as they did before.

--- a/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/http/StreamingUndertow.kt
@@ -36,7 +36,7 @@
  * @property inFlight counts each exchange from the arrival of its header, including exchanges that wait for a worker thread.
  * @property isClosing whether to close each connection after its answer, so that callers connect to another instance.
  * @property writeTimeoutMs time after which a caller that does not read is disconnected; it would block a thread forever
- *   otherwise. On servers with a [DisconnectAwareHandler] it also limits each read of the request body.
+ *   otherwise. On servers with a [DisconnectAwareHandler] it also limits each read of the request body. It limits the close, too.
  * @property idleTimeoutMs time after which an unused connection is closed, or null to keep it open.
  * @property headerTimeoutMs time within which a request header must arrive completely, or null for no limit.
  */
@@ -80,7 +80,7 @@
         exchange.putAttachment(InFlightExchange.KEY, inFlightExchange)
         exchange.addExchangeCompleteListener { _, nextListener ->
             inFlightExchange.onExchangeCompleted()
-            nextListener.proceed()
+            LingeringClose.closeIfLast(exchange, writeTimeoutMs, nextListener::proceed)
         }
         next.handleRequest(exchange)
     }
--- a/node/src/test/kotlin/org/godwitwick/node/http/CutAnswerTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/http/CutAnswerTest.kt
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.api.expectThrows
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
@@ -218,6 +219,57 @@
         }
     }
 
+    // Guards against a reset by the kernel for bytes that nobody reads, which discards the unsent end of a whole answer.
+    @Test
+    fun `a whole answer on a connection that ends with it arrives completely although its caller sends more meanwhile`() {
+        for (request in listOf(HTTP10_REQUEST, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")) {
+            for (late in listOf("\r\n", REQUEST.repeat(LATE_REQUESTS))) {
+                val end = CountDownLatch(1)
+                val port = start {
+                    Response(Status.OK).body(Body(SequenceInputStream(WaitingBody(end), ByteArray(LARGE_BYTES).inputStream())))
+                }
+                open(port, request).use { socket ->
+                    expectThat(socket.getInputStream().read()).isEqualTo('H'.code)
+                    end.countDown()
+                    repeat(2) {
+                        // The caller sends before and after the last byte of the answer has been handed to the kernel.
+                        Thread.sleep(PAUSE_MS)
+                        socket.getOutputStream().write(late.toByteArray())
+                    }
+                    Thread.sleep(PAUSE_MS)
+                    val received = receive(socket)
+                    expectThat(received.isReset).isFalse()
+                    expectThat(received.text.count { it == '\u0000' }).isEqualTo(LARGE_BYTES)
+                }
+                close()
+            }
+        }
+    }
+
+    // Guards against a caller that keeps its connection open after its last answer by sending without end.
+    @Test
+    fun `a caller that goes on sending after its last answer is disconnected`() {
+        val port = start { Response(Status.OK).body("whole") }
+        open(port, HTTP10_REQUEST).use { socket ->
+            expectThrows<IOException> { repeat(ENDLESS_PARTS) { socket.getOutputStream().write(ByteArray(LARGE_BYTES)) } }
+        }
+    }
+
+    // Guards against a caller that keeps its connection open after its last answer by sending slowly, or by not closing it.
+    @Test
+    fun `a caller that does not close its connection after its last answer is disconnected in time`() {
+        val port = start(writeTimeoutMs = 600) { Response(Status.OK).body("whole") }
+        open(port, HTTP10_REQUEST).use { socket ->
+            expectThat(receive(socket).text).contains("whole")
+            expectThrows<IOException> {
+                repeat(ENDLESS_PARTS) {
+                    socket.getOutputStream().write(0)
+                    Thread.sleep(PAUSE_MS)
+                }
+            }
+        }
+    }
+
     // Guards against the loss of what was sent of an answer before it failed: a caller may take that for an unread request.
     @Test
     fun `the part of an answer that is shorter than its length arrives, also if the caller has pipelined a request`() {
@@ -239,5 +291,9 @@
         const val REPEATS = 8
         const val PAUSE_MS = 100L
         const val LARGE_BYTES = 1_500_000
+
+        /** Less than the limit up to which bytes after the last request of a connection are read. */
+        const val LATE_REQUESTS = 1_000
+        const val ENDLESS_PARTS = 200
     }
 }
