Lab: upgrade a fleet of processes from an earlier commit and back

`lab mixed COMMIT` builds the commit from the history, runs a part of a small fleet with it and the rest with the current build, replaces the instances one after the other, forward and back, under load, and checks what callers and upstreams have seen. Keys are revoked, upstreams leave and crash, one names a limit, and one instance reaches no upstream.

--- a/lab/src/main/kotlin/org/godwitwick/lab/LabMain.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/LabMain.kt
@@ -3,6 +3,7 @@
 import org.godwitwick.lab.demo.DemoCommand
 import org.godwitwick.lab.experiment.ExperimentCommand
 import org.godwitwick.lab.forward.ForwardExperimentCommand
+import org.godwitwick.lab.mixed.MixedFleetCommand
 import org.godwitwick.lab.slopes.SlopesCommand
 import picocli.CommandLine
 import picocli.CommandLine.Command
@@ -12,7 +13,13 @@
 @Command(
     name = "lab",
     mixinStandardHelpOptions = true,
-    subcommands = [DemoCommand::class, ExperimentCommand::class, SlopesCommand::class, ForwardExperimentCommand::class],
+    subcommands = [
+        DemoCommand::class,
+        ExperimentCommand::class,
+        SlopesCommand::class,
+        ForwardExperimentCommand::class,
+        MixedFleetCommand::class,
+    ],
 )
 class LabCommand
 
