--- a/lab/src/main/kotlin/org/godwitwick/lab/mixed/MixedRun.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/mixed/MixedRun.kt
@@ -75,12 +75,13 @@
         keys: List<String>,
     ) {
         val fleet = startFleet(store, instances)
+        val refusalStep = random.nextInt(plan.size)
         MixedCallers(instances, keys, seed, seen, ::nowMs).use { callers ->
             callers.start(CALLERS)
             Thread.sleep(paceMs)
             upstreams.limit(DESK, LIMIT_PER_SECOND)
             plan.forEachIndexed { step, (index, isEarlier) ->
-                val disturbance = disturb(store, upstreams, keys.drop(1 + step))
+                val disturbance = disturb(store, upstreams, keys.drop(1 + step), hasRefusals = step == refusalStep)
                 instances.replace(fleet[index], if (isEarlier) earlier else current, GRACE_MS)
                 disturbance.join()
                 Thread.sleep(paceMs)
@@ -97,7 +98,7 @@
             val address = if (index == cutOff) withoutUpstreams else store.address
             val ports = InstancePorts.free()
             val name = nameOf(index)
-            val settings = platformSettings(address, REVOCATION_MS, GRACE_S, name = name, ports = ports)
+            val settings = platformSettings(address, REVOCATION_MS, GRACE_S, RETRY_RESERVE, name = name, ports = ports)
             MixedInstance(name, ports, folder, settings).also {
                 instances.add(it, if (index < ReplacementPlan.earlierAtFirst(size)) earlier else current)
             }
@@ -109,8 +110,9 @@
     private fun nameOf(index: Int) = "entry-${index + 1}"
 
     // Revokes the first of [keys] and replaces an upstream of each service, each at a time of its own.
-    private fun disturb(store: FakePlatformStore, upstreams: MixedUpstreams, keys: List<String>): Thread {
+    private fun disturb(store: FakePlatformStore, upstreams: MixedUpstreams, keys: List<String>, hasRefusals: Boolean): Thread {
         val actions = listOf(
+            { if (hasRefusals) upstreams.refusedPercent = REFUSED_PERCENT },
             { revoke(store, keys) },
             { upstreams.replace(DESK, LEAVING_MS + LINGER_MS, random) },
             { upstreams.replace(MODEL, LEAVING_MS + LINGER_MS, random) },
@@ -120,6 +122,8 @@
                 Thread.sleep(delayMs)
                 action()
             }
+            if (hasRefusals) Thread.sleep(REFUSALS_MS)
+            upstreams.refusedPercent = MixedUpstreams.CALM_REFUSED_PERCENT
         }
     }
 
@@ -135,7 +139,7 @@
     )
 
     private fun result(replacements: Int, organisations: Map<String, String>): RunResult {
-        val breaches = PromiseCheck(seen, organisations, PromiseBounds(REVOCATION_MS, LEAVING_MS)).breaches()
+        val breaches = PromiseCheck(seen, organisations, PromiseBounds(REVOCATION_MS, LEAVING_MS, RETRY_RESERVE)).breaches()
         val attempts = seen.attempts.toList()
         val served = attempts.filter { it.answer.status == OK && it.answer.isWhole }
         return RunResult(
@@ -162,6 +166,11 @@
         const val DESKS = 5
         const val ENGINES = 3
         const val CALLERS = 6
+        const val RETRY_RESERVE = 20
+
+        /** Share of requests that upstreams refuse, and for how long, to exhaust the budget of retries. */
+        const val REFUSED_PERCENT = 60
+        const val REFUSALS_MS = 5_000L
         const val LIMIT_PER_SECOND = 2.0
         const val REVOCATION_MS = 5_000L
         const val LEAVING_MS = 2_000L
--- a/lab/src/main/kotlin/org/godwitwick/lab/mixed/MixedUpstreams.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/mixed/MixedUpstreams.kt
@@ -41,6 +41,10 @@
     private val timer = Executors.newScheduledThreadPool(2) { Thread(it, "upstream-timer").apply { isDaemon = true } }
     private val count = AtomicInteger()
 
+    /** Share of requests that upstreams refuse, in percent. */
+    @Volatile
+    var refusedPercent = CALM_REFUSED_PERCENT
+
     /** Starts and registers an upstream of [service] and returns its id. */
     fun start(service: String): String {
         val id = "$service-${count.incrementAndGet()}"
@@ -86,14 +90,13 @@
         }
         val random = Random(seed * PRIME + (request.id + upstream).hashCode())
         if (request.target.startsWith(CRASHING_PATH)) return crash(upstream, self, record)
-        val percentile = random.nextInt(PERCENT)
-        if (percentile < REFUSED_PERCENT) {
+        if (random.nextInt(PERCENT) < refusedPercent) {
             record(Handling.REFUSED)
             return out.refuse(request)
         }
         Thread.sleep(if (random.nextInt(PERCENT) < LONG_PERCENT) random.nextLong(LONG_MS) else random.nextLong(SHORT_MS))
         try {
-            val isSound = percentile >= REFUSED_PERCENT + FAILED_PERCENT
+            val isSound = random.nextInt(PERCENT) >= FAILED_PERCENT
             if (isSound) succeed(self, kind, upstream, request, out) else failOrBreak(kind, upstream, request, out, random)
             out.flush()
             record(if (isSound) Handling.SERVED else Handling.FAILED)
@@ -155,10 +158,12 @@
     companion object {
         /** Prefix of the path of requests that end each upstream that runs them. */
         const val CRASHING_PATH = "/charge/crash"
+
+        /** [refusedPercent] of sound upstreams. */
+        const val CALM_REFUSED_PERCENT = 4
         private const val TOPIC = "keyed.servers"
         private const val PRIME = 1_000_003L
         private const val PERCENT = 100
-        private const val REFUSED_PERCENT = 4
         private const val FAILED_PERCENT = 3
         private const val LONG_PERCENT = 5
         private const val LONG_MS = 1_500L
--- a/lab/src/main/kotlin/org/godwitwick/lab/mixed/Observations.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/mixed/Observations.kt
@@ -7,12 +7,13 @@
  * Kind of a request.
  *
  * @property path prefix of its path.
+ * @property service the service whose upstreams serve it.
  * @property maxRuns number of times that one request may run.
  */
-enum class RequestKind(val path: String, val maxRuns: Int) {
-    STATUS("/status/", 2),
-    CHARGE("/charge/", 1),
-    DRAFT("/draft/", 2),
+enum class RequestKind(val path: String, val service: String, val maxRuns: Int) {
+    STATUS("/status/", "desk", 2),
+    CHARGE("/charge/", "desk", 1),
+    DRAFT("/draft/", "model", 2),
 }
 
 /** A request as its caller saw it. Times are milliseconds of one clock of the lab. */
--- a/lab/src/main/kotlin/org/godwitwick/lab/mixed/PromiseCheck.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/mixed/PromiseCheck.kt
@@ -1,25 +1,5 @@
 package org.godwitwick.lab.mixed
 
-/** A promise that callers and upstreams rely on, as it is named in tables. */
-enum class Promise(val column: String) {
-    RUNS("runs"),
-    ONE_ANSWER("answer"),
-    NOT_RUN("not run"),
-    REVOKED("revoked"),
-    LEAVING("leaving"),
-    LIMIT("limit"),
-    CRASHING("crashing"),
-    ORGANISATION("organisation"),
-    LOST("lost"),
-    DENIED("denied"),
-}
-
-/** A promise that was not kept, with what was seen. */
-data class Breach(val promise: Promise, val detail: String)
-
-/** Bounds that the promises state. */
-data class PromiseBounds(val revocationMs: Long, val leavingMs: Long, val contactWindowMs: Long = 3_000)
-
 /** Checks the promises of the product against what callers and upstreams have seen in a run. */
 class PromiseCheck(seen: Observations, private val organisations: Map<String, String>, private val bounds: PromiseBounds) {
     private val attempts = seen.attempts.toList()
@@ -31,7 +11,7 @@
 
     /** The promises that were not kept. */
     fun breaches(): List<Breach> =
-        attempts.flatMap(::ofAttempt) + arrivals.flatMap(::ofArrival) + leaving() + limits() + crashing() + denied()
+        attempts.flatMap(::ofAttempt) + arrivals.flatMap(::ofArrival) + leaving() + limits() + crashing() + retries() + denied()
 
     private fun ofAttempt(attempt: CallerAttempt): List<Breach> {
         val ran = arrivalsOf[attempt.id].orEmpty().filter { it.hasRun }
@@ -94,6 +74,20 @@
         return if (late.size <= LATE_CRASHES) emptyList() else listOf(Breach(Promise.CRASHING, "${late.size} arrivals: $late"))
     }
 
+    // Counted for each service over any window, against the requests in it, in the one before it, or in the one half a window before it.
+    private fun retries(): List<Breach> = RequestKind.entries.groupBy { it.service }.mapNotNull { (service, kinds) ->
+        val sentMs = attempts.filter { it.kind in kinds }.map { it.sentMs }
+        val repeatsMs = arrivalsOf.values.flatMap { it.drop(1) }.filter { it.upstream.startsWith("$service-") }.map { it.atMs }
+        val excess = repeatsMs.maxOfOrNull { endMs ->
+            val repeats = repeatsMs.count { it in endMs - RETRY_WINDOW_MS + 1..endMs }
+            val requests = listOf(0L, RETRY_WINDOW_MS / 2, RETRY_WINDOW_MS).maxOf { back ->
+                sentMs.count { it in endMs - back - RETRY_WINDOW_MS + 1..endMs - back }
+            }
+            repeats - RETRY_FRACTION * requests - bounds.retryReserve
+        } ?: 0.0
+        Breach(Promise.RETRIES, "$excess repeats too many for $service").takeIf { excess > 0 }
+    }
+
     private fun denied(): List<Breach> {
         val refused = attempts.filter { it.answer.status in DENIALS && (revoked[it.key] ?: Long.MAX_VALUE) > it.endMs }
         val allowed = DENIED_SLACK + attempts.size / DENIED_SHARE
@@ -114,6 +108,8 @@
         const val LIMIT_FACTOR = 1.5
         const val LIMIT_SLACK = 5
         const val MS_PER_SECOND = 1e3
+        const val RETRY_WINDOW_MS = 10_000L
+        const val RETRY_FRACTION = 0.2
         const val CRASHES = 3
         const val LATE_CRASHES = 3
         const val DENIED_SLACK = 5
