--- a/lab/src/main/kotlin/org/godwitwick/lab/mixed/MixedRun.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/mixed/MixedRun.kt
@@ -1,11 +1,10 @@
 package org.godwitwick.lab.mixed
 
+import org.godwitwick.lab.process.freePort
 import org.godwitwick.standins.platform.FakePlatformStore
 import org.godwitwick.standins.platform.InstancePorts
 import org.godwitwick.standins.platform.platformConfig
 import org.godwitwick.standins.platform.platformSettings
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.concurrent.thread
@@ -92,11 +91,11 @@
     }
 
     private fun startFleet(store: FakePlatformStore, instances: MixedInstances): List<MixedInstance> {
-        val closedPort = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+        val closedPort = freePort()
         val withoutUpstreams = store.openView("keyed.servers") { it.replace(ADDRESS, "\"address\":\"127.0.0.1:$closedPort\"") }
         return (0 until size).map { index ->
             val address = if (index == cutOff) withoutUpstreams else store.address
-            val ports = InstancePorts.free()
+            val ports = InstancePorts(freePort(), freePort(), freePort())
             val name = nameOf(index)
             val settings = platformSettings(address, REVOCATION_MS, GRACE_S, RETRY_RESERVE, name = name, ports = ports)
             MixedInstance(name, ports, folder, settings).also {
--- a/lab/src/main/kotlin/org/godwitwick/lab/mixed/MixedUpstreams.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/mixed/MixedUpstreams.kt
@@ -29,7 +29,9 @@
     private val seen: Observations,
     private val nowMs: () -> Long,
 ) : AutoCloseable {
-    private class Running(val service: String, val upstream: ScriptedUpstream) {
+    private inner class Running(val id: String, val service: String) {
+        val upstream = ScriptedUpstream(id) { request, out, _ -> serve(this, request, out) }.also { it.keepsBodies = false }
+
         @Volatile
         var hasCrashed = false
 
@@ -38,6 +40,7 @@
     }
 
     private val running = ConcurrentHashMap<String, Running>()
+    private val left = ConcurrentHashMap<String, Running>()
     private val timer = Executors.newScheduledThreadPool(2) { Thread(it, "upstream-timer").apply { isDaemon = true } }
     private val count = AtomicInteger()
 
@@ -48,9 +51,9 @@
     /** Starts and registers an upstream of [service] and returns its id. */
     fun start(service: String): String {
         val id = "$service-${count.incrementAndGet()}"
-        val upstream = ScriptedUpstream(id) { request, out, _ -> serve(id, request, out) }.also { it.keepsBodies = false }
-        running[id] = Running(service, upstream)
-        store.put(TOPIC, id, upstreamRegistration(service, upstream.address))
+        val started = Running(id, service)
+        running[id] = started
+        store.put(TOPIC, id, upstreamRegistration(service, started.upstream.address))
         return id
     }
 
@@ -61,6 +64,7 @@
         }.keys.sorted()
         val id = candidates.randomOrNull(random) ?: return
         val leaving = running.remove(id) ?: return
+        left[id] = leaving
         start(service)
         store.put(TOPIC, id, upstreamRegistration(service, leaving.upstream.address, "draining", sequence = 2))
         seen.events += FleetEvent.UpstreamLeaves(nowMs(), id)
@@ -68,12 +72,8 @@
             leaving.upstream.close()
             store.put(TOPIC, id, "")
         }
-        left[id] = leaving
     }
 
-    // They go on serving until they end.
-    private val left = ConcurrentHashMap<String, Running>()
-
     /** Lets one more upstream of [service] state that it takes [perSecond] requests a second. */
     fun limit(service: String, perSecond: Double) {
         val id = start(service)
@@ -81,15 +81,15 @@
         seen.events += FleetEvent.LimitStated(nowMs(), id, perSecond)
     }
 
-    private fun serve(upstream: String, request: ReceivedRequest, out: OutputStream) {
-        val self = running[upstream] ?: left.getValue(upstream)
+    private fun serve(self: Running, request: ReceivedRequest, out: OutputStream) {
+        val upstream = self.id
         val kind = RequestKind.entries.firstOrNull { request.target.startsWith(it.path) } ?: return out.refuse(request)
         val arrivedMs = nowMs()
         val record = { handling: Handling ->
             seen.arrivals += Arrival(request.id, upstream, arrivedMs, handling, request.organisation, request.hasKey)
         }
         val random = Random(seed * PRIME + (request.id + upstream).hashCode())
-        if (request.target.startsWith(CRASHING_PATH)) return crash(upstream, self, record)
+        if (request.target.startsWith(CRASHING_PATH)) return crash(self, record)
         if (random.nextInt(PERCENT) < refusedPercent) {
             record(Handling.REFUSED)
             return out.refuse(request)
@@ -132,14 +132,14 @@
         }
     }
 
-    private fun crash(upstream: String, self: Running, record: (Handling) -> Unit) {
+    private fun crash(self: Running, record: (Handling) -> Unit) {
         record(Handling.CRASHED)
         Thread.sleep(CRASH_AFTER_MS)
         self.hasCrashed = true
-        running.remove(upstream)
-        left[upstream] = self
+        running.remove(self.id)
+        left[self.id] = self
         schedule(RESTART_MS) { start(self.service) }
-        schedule(EXPIRY_MS) { store.put(TOPIC, upstream, "") }
+        schedule(EXPIRY_MS) { store.put(TOPIC, self.id, "") }
         self.upstream.close()
         throw BrokenOff()
     }
