--- a/lab/src/main/kotlin/org/godwitwick/lab/mixed/MixedUpstreams.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/mixed/MixedUpstreams.kt
@@ -92,12 +92,12 @@
         if (request.target.startsWith(CRASHING_PATH)) return crash(self, record)
         if (random.nextInt(PERCENT) < refusedPercent) {
             record(Handling.REFUSED)
-            return out.refuse(request)
+            return out.refuse(request, self.limitPerSecond)
         }
         Thread.sleep(if (random.nextInt(PERCENT) < LONG_PERCENT) random.nextLong(LONG_MS) else random.nextLong(SHORT_MS))
         try {
             val isSound = random.nextInt(PERCENT) >= FAILED_PERCENT
-            if (isSound) succeed(self, kind, upstream, request, out) else failOrBreak(kind, upstream, request, out, random)
+            if (isSound) succeed(self, kind, upstream, request, out) else failOrBreak(kind, self, request, out, random)
             out.flush()
             record(if (isSound) Handling.SERVED else Handling.FAILED)
         } catch (e: IOException) {
@@ -116,11 +116,11 @@
         out.succeed(request, answer.signature, answer.body, self.limitPerSecond)
     }
 
-    private fun failOrBreak(kind: RequestKind, upstream: String, request: ReceivedRequest, out: OutputStream, random: Random) {
+    private fun failOrBreak(kind: RequestKind, self: Running, request: ReceivedRequest, out: OutputStream, random: Random) {
         if (kind != RequestKind.DRAFT && random.nextBoolean()) {
-            return out.fail(request, ExpectedAnswer.signatureOf(request.id, upstream))
+            return out.fail(request, ExpectedAnswer.signatureOf(request.id, self.id), self.limitPerSecond)
         }
-        if (kind == RequestKind.DRAFT) stream(upstream, request, out, random.nextInt(ExpectedAnswer.EVENTS))
+        if (kind == RequestKind.DRAFT) stream(self.id, request, out, random.nextInt(ExpectedAnswer.EVENTS))
         throw BrokenOff()
     }
 
--- a/standins/src/main/kotlin/org/godwitwick/standins/platform/PlatformAnswers.kt
+++ b/standins/src/main/kotlin/org/godwitwick/standins/platform/PlatformAnswers.kt
@@ -18,14 +18,15 @@
 val ReceivedRequest.lastEventId: Int? get() = headers["last-event-id"]?.toIntOrNull()
 
 /** Writes a signed success, with the [limit] of requests a second that the upstream names, if any. */
-fun OutputStream.succeed(request: ReceivedRequest, signature: String, body: String, limit: Double? = null) {
-    val signed = "X-Response-Signature" to signature
-    if (limit == null) answer(request, 200, body, signed) else answer(request, 200, body, signed, "Server-Limit" to "$limit")
-}
+fun OutputStream.succeed(request: ReceivedRequest, signature: String, body: String, limit: Double? = null) =
+    answer(request, 200, body, *listOfNotNull("X-Response-Signature" to signature, limitHeader(limit)).toTypedArray())
 
 /** Writes a signed failure of a request that ran. */
-fun OutputStream.fail(request: ReceivedRequest, signature: String) =
-    answer(request, 500, "error", "X-Response-Signature" to signature)
+fun OutputStream.fail(request: ReceivedRequest, signature: String, limit: Double? = null) =
+    answer(request, 500, "error", *listOfNotNull("X-Response-Signature" to signature, limitHeader(limit)).toTypedArray())
 
 /** Writes a refusal that states that the request did not run. */
-fun OutputStream.refuse(request: ReceivedRequest) = answer(request, 503, "", "X-Not-Executed" to "1")
+fun OutputStream.refuse(request: ReceivedRequest, limit: Double? = null) =
+    answer(request, 503, "", *listOfNotNull("X-Not-Executed" to "1", limitHeader(limit)).toTypedArray())
+
+private fun limitHeader(limit: Double?) = limit?.let { "Server-Limit" to "$it" }
