Read the whole reply to an engine's order

What callers saw (by test): memory that counts as reserved though the engine has refused, if its reply stops within the body of a 200 and goes on as a 409.

Cause: only the head was read, and the fault is in the body.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardClient.kt
@@ -7,6 +7,7 @@
 import okhttp3.MediaType.Companion.toMediaType
 import okhttp3.Request
 import okhttp3.Response
+import okio.blackholeSink
 import org.godwitwick.core.forward.AttemptEnd
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.node.upstream.AnswerFraming
@@ -142,7 +143,8 @@
     }
 
     /**
-     * Sends [order] to the engine at [address]; returns the status of the reply, or null if there was none within [timeoutMs].
+     * Sends [order] to the engine at [address]; returns the status of the reply, or null if there was no whole one within
+     * [timeoutMs].
      */
     fun order(address: String, order: EngineOrderCall, timeoutMs: Long): Int? {
         val request = Request.Builder().url("http://$address${order.path}")
@@ -153,7 +155,10 @@
         val call = unpooled.newCall(request.build())
         call.timeout().timeout(timeoutMs, TimeUnit.MILLISECONDS)
         return try {
-            call.execute().use { it.code }
+            call.execute().use {
+                it.body.source().readAll(blackholeSink())
+                it.code
+            }
         } catch (_: IOException) {
             null
         }
