Deliver answers without a body whatever follows them

What callers saw (by test): a failure for a whole 204 that was followed by bytes which begin no answer; they belong to no request.

Cause: the check for bodies that another answer fills up also ran where there is no body.

Result: the new test of ResponseInputTest failed before.

--- a/core/src/main/kotlin/org/godwitwick/core/http/ResponseReader.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/http/ResponseReader.kt
@@ -37,8 +37,8 @@
             else -> false
         }
 
-    /** Whether the body ends with the length that the head states, so that nothing in the body itself shows its end. */
-    val isEndStatedByLength: Boolean get() = framing is BodyFraming.Length
+    /** Whether nothing but the length in the head shows where the body ends, so that its end may be part of another response. */
+    val isEndStatedByLength: Boolean get() = framing.let { it is BodyFraming.Length && it.bytes > 0 }
 
     /**
      * Whether the last bytes of a body with a length may be the beginning of another response. Further bytes would show that they
--- a/node/src/test/kotlin/org/godwitwick/node/upstream/ResponseInputTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/upstream/ResponseInputTest.kt
@@ -4,6 +4,7 @@
 import org.junit.jupiter.api.assertThrows
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
 import java.io.ByteArrayInputStream
 import java.io.InputStream
 import java.io.SequenceInputStream
@@ -65,5 +66,16 @@
         assertThrows<MalformedAnswerException> { input.readAnswer(bytesPerRead = 8_192) }
     }
 
+    // Guards against a whole answer that is lost because of bytes behind it: without a body there is nothing that they could complete.
+    @Test
+    fun `an answer without a body is delivered although bytes follow that begin no answer`() {
+        val own = "HTTP/1.1 204 No Content\r\nX-Request-Id: a\r\n\r\n"
+        val input = inputOf(own + "xyz")
+        input.beginFor("a")
+        val target = ByteArray(8_192)
+        expectThat(String(target, 0, input.read(target))).isEqualTo(own)
+        expectThat(input.isUsedUp).isTrue()
+    }
+
     private fun ResponseInput.readExactly(bytes: Int): String = String(readNBytes(bytes))
 }
