Recognise an answer to an earlier request within a body

What callers saw (by test): a success whose body was filled up by the late answer to another request on the connection.

Cause: only answers with the id of the request itself counted as other ones.

Result: the new test of ResponseInputTest failed before.

--- a/core/src/main/kotlin/org/godwitwick/core/http/ResponseReader.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/http/ResponseReader.kt
@@ -6,9 +6,9 @@
  *
  * @param method method of the request.
  * @param idHeader name of the header by which responses name their request, or null if they don't.
- * @param requestId id of the request, or null if it has none.
+ * @param isSent whether a request with an id was sent on the connection, this one or an earlier one.
  */
-class ResponseReader(private val method: String, private val idHeader: String?, private val requestId: String?) {
+class ResponseReader(private val method: String, private val idHeader: String?, private val isSent: (String) -> Boolean) {
     private var headReader = ResponseHeadReader()
     private val chunks = ChunkReader()
     private val scanner = EmbeddedHeadScanner(::isOtherResponse)
@@ -104,7 +104,7 @@
     private fun isOtherResponse(embedded: ResponseHead): Boolean {
         val outer = head ?: return false
         val id = idHeader?.let(embedded::value)
-        if (id != null && id == requestId) return true
+        if (id != null && isSent(id)) return true
         return id == idHeader?.let(outer::value) && (id != null || !carriesMessages(outer))
     }
 
--- a/core/src/test/kotlin/org/godwitwick/core/http/ResponseReaderTest.kt
+++ b/core/src/test/kotlin/org/godwitwick/core/http/ResponseReaderTest.kt
@@ -50,7 +50,7 @@
     }
 
     private fun read(bytes: ByteArray, idHeader: String? = "X-Request-Id", nextSize: () -> Int = { Int.MAX_VALUE }): Reading {
-        val reader = ResponseReader("GET", idHeader, requestId = idHeader?.let { "id-1" })
+        val reader = ResponseReader("GET", idHeader) { idHeader != null && it == "id-1" }
         var position = 0
         while (position < bytes.size && !reader.isComplete && reader.fault == null) {
             val to = minOf(bytes.size.toLong(), position.toLong() + nextSize()).toInt()
@@ -296,7 +296,7 @@
 
     @Test
     fun `a response without a body is complete with its head`() {
-        val reader = ResponseReader("HEAD", idHeader = null, requestId = null)
+        val reader = ResponseReader("HEAD", idHeader = null) { false }
         val head = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n".toByteArray()
         expectThat(reader.accept(head, 0, head.size - 1)).isEqualTo(head.size - 1)
         expectThat(reader.isComplete).isFalse()
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/ResponseInput.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ResponseInput.kt
@@ -56,7 +56,7 @@
     }
 
     private fun beginResponse() {
-        reader = ResponseReader(method, identity?.header, identity?.requestId)
+        reader = ResponseReader(method, identity?.header, sentIds::contains)
         isPassedOver = false
         held.clear()
         ready.clear()
--- a/node/src/test/kotlin/org/godwitwick/node/upstream/ResponseInputTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/upstream/ResponseInputTest.kt
@@ -66,6 +66,18 @@
         assertThrows<MalformedAnswerException> { input.readAnswer(bytesPerRead = 8_192) }
     }
 
+    // Guards against a body that the late answer to an earlier request on the connection fills up.
+    @Test
+    fun `a body that contains an answer to an earlier request is broken off`() {
+        val first = answer("a", "done")
+        val late = answer("a", "late")
+        val input = inputOf(first + answer("b", "cut", length = 3 + late.length) + late)
+        input.beginFor("a")
+        input.readExactly(first.length)
+        input.beginFor("b")
+        assertThrows<MalformedAnswerException> { input.readAnswer(bytesPerRead = 8_192) }
+    }
+
     // Guards against a whole answer that is lost because of bytes behind it: without a body there is nothing that they could complete.
     @Test
     fun `an answer without a body is delivered although bytes follow that begin no answer`() {
