Wait for a lost packet where a body ends like a status line

What callers saw (by test): a success whose last bytes are the beginning of a status line, if the rest of the second answer came 200 ms later, as after a lost packet.

Cause: the wait of 50 ms for what follows is shorter than a retransmission.

Change: the wait is 300 ms where the body ends with "HTTP/1." or more of a status line.

--- a/core/src/main/kotlin/org/godwitwick/core/http/EmbeddedHeadScanner.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/http/EmbeddedHeadScanner.kt
@@ -20,6 +20,9 @@
     /** Whether the last bytes may be the beginning of a head. */
     val endsLikeHead: Boolean get() = matchedChars > 0
 
+    /** Whether the last bytes begin like a status line, and not just like any text. */
+    val endsLikeStatusLine: Boolean get() = matchedChars == START.length
+
     /** Whether the last bytes are a whole status line, possibly with header fields. */
     val endsInsideHead: Boolean get() = status != null
 
--- a/core/src/main/kotlin/org/godwitwick/core/http/ResponseReader.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/http/ResponseReader.kt
@@ -46,6 +46,9 @@
      */
     val mayEndWithOtherResponse: Boolean get() = framing is BodyFraming.Length && scanner.endsLikeHead
 
+    /** Whether the last bytes of a body with a length begin like a status line. */
+    val endsLikeStatusLine: Boolean get() = framing is BodyFraming.Length && scanner.endsLikeStatusLine
+
     /** Reads the bytes of [buffer] from [from] to [to]. Returns the index behind the last one that belongs to the response. */
     fun accept(buffer: ByteArray, from: Int, to: Int): Int {
         var position = from
--- a/node/src/main/kotlin/org/godwitwick/node/upstream/ResponseInput.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/upstream/ResponseInput.kt
@@ -135,7 +135,9 @@
 
     // The rest of another response, behind a body with a length, shows that the end of the body is part of that one.
     private fun checkEnd(reader: ResponseReader) {
-        if (excess.size == 0L && reader.mayEndWithOtherResponse) receiveExcess()
+        if (excess.size == 0L && reader.mayEndWithOtherResponse) {
+            receiveExcess(if (reader.endsLikeStatusLine) STATUS_LINE_TIMEOUT_MS else EXCESS_TIMEOUT_MS)
+        }
         if (!reader.isEndStatedByLength || excess.size == 0L) return
         if (!ResponseReader.mayBegin(excess.peek().readByteArray())) {
             throw MalformedAnswerException("the body is followed by bytes that begin no response")
@@ -143,11 +145,11 @@
     }
 
     // Waits for what follows the response, but only for a short time, as usually nothing does.
-    private fun receiveExcess() {
+    private fun receiveExcess(withinMs: Int) {
         val timeoutMs = socket.soTimeout
         val received = ByteArray(EXCESS_BYTES)
         try {
-            socket.soTimeout = EXCESS_TIMEOUT_MS
+            socket.soTimeout = withinMs
             val count = source.read(received)
             if (count > 0) excess.write(received, 0, count)
         } catch (_: IOException) {
@@ -173,5 +175,8 @@
 
         /** Longer than a delayed acknowledgement, which can separate two packets of one response. */
         const val EXCESS_TIMEOUT_MS = 50
+
+        /** Longer than the shortest retransmission timeout of common TCP implementations, 200 ms. */
+        const val STATUS_LINE_TIMEOUT_MS = 300
     }
 }
