Read the stated ranks of routes and organisations

The configuration states priorities of routes and of organisations, and neither was read. The rank of a request is its organisation's priority, then its route's. A service has ranks only where the operator states at least two different priorities; no decision uses them yet.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/ForwardRoute.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/ForwardRoute.kt
@@ -12,6 +12,7 @@
  * @property gapTargetMs target for the longest pause between two events, in milliseconds; zero if the route does not stream.
  * @property maxRuns maximum number of upstreams on which one request may run.
  * @property isPublic whether the route accepts callers without a key.
+ * @property priority stated priority, where 0 is the most urgent one, or null if none is stated.
  */
 data class ForwardRoute(
     val name: String,
@@ -24,6 +25,7 @@
     val split: List<WeightedService>,
     val maxRuns: Int,
     val isPublic: Boolean,
+    val priority: Int? = null,
 ) {
     /** Returns this route with at most [runs] upstreams on which one request may run. */
     fun limitedTo(runs: Int): ForwardRoute = copy(maxRuns = maxRuns.coerceAtMost(runs))
--- a/core/src/main/kotlin/org/godwitwick/core/forward/RoutingConfig.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/RoutingConfig.kt
@@ -2,8 +2,12 @@
 
 import org.godwitwick.core.model.OrganisationId
 
-/** An organisation and the valid keys of its callers. */
-data class OrganisationKeys(val organisation: OrganisationId, val keys: List<String>)
+/**
+ * An organisation and the valid keys of its callers.
+ *
+ * @property priority stated priority, which precedes that of the route, or null if none is stated.
+ */
+data class OrganisationKeys(val organisation: OrganisationId, val keys: List<String>, val priority: Int? = null)
 
 /** A service to which routes forward requests; [engine] is null for a plain service. */
 data class ForwardService(val name: String, val engine: EngineProfile?)
--- a/core/src/main/kotlin/org/godwitwick/core/forward/RoutingTable.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/RoutingTable.kt
@@ -8,6 +8,8 @@
         config.routes.groupBy { it.host.lowercase() }.mapValues { (_, routes) -> routes.associateBy { it.pathPrefix } }
     private val services = config.services.associateBy { it.name }
     private val pauseTargets = services.keys.associateWith { PauseTargets.of(config.routes, it) }
+    private val ranks = services.keys.associateWith { ServiceRanks.of(config, it) }
+    private val priorities = config.organisations.orEmpty().associate { it.organisation to it.priority }
     private val organisations: Map<String, OrganisationId> =
         config.organisations.orEmpty().flatMap { entry -> entry.keys.map { it to entry.organisation } }.toMap()
 
@@ -31,6 +33,15 @@
     /** The longest allowed pauses of the streams of the service called [name], or null if it has none. */
     fun pauseTargetsOf(name: String): PauseTargets? = pauseTargets[name]
 
+    /** The ranks that compete for the service called [name], or null if no differences are stated. */
+    fun ranksOf(name: String): ServiceRanks? = ranks[name]
+
+    /** Rank of a request of [organisation], or of a caller without a key if null, on [route]. */
+    fun rankOf(route: ForwardRoute, organisation: OrganisationId?): RequestRank {
+        val routePriority = route.priority ?: RequestRank.UNSTATED
+        return RequestRank(organisation?.let { priorities[it] } ?: routePriority, routePriority)
+    }
+
     /** The service with this [name], or null. */
     fun serviceOf(name: String): ForwardService? = services[name]
 }
