Go on registering if the port for other instances is in use

An instance whose port was in use when it first listened never registered again, and nothing was logged: the executor of the registration ends a periodic task that throws, and only runtime exceptions were caught. Other instances then did not know it and it did not know them, so that, cut off from the upstreams, it refused all requests. CutOffInstanceTest failed once like this on beside load (one instance alone for 20 s); the log of that run does not name the cause, so that it was this port is likely and not shown. OccupiedPeerPortTest failed before ("registration ended") and passes.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
@@ -16,6 +16,7 @@
 import org.godwitwick.node.peer.QuarantineRows
 import org.godwitwick.node.peer.StatementRow
 import org.slf4j.LoggerFactory
+import java.io.IOException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.Executors
 import java.util.concurrent.RejectedExecutionException
@@ -139,8 +140,14 @@
             caches[pull.feed]?.answer(pull)
                 ?: CompletableFuture.completedFuture(null)
         }
-        opened.start(self.address.substringBeforeLast(':'), self.address.substringAfterLast(':').toInt())
-        transport = opened
+        try {
+            opened.start(self.address.substringBeforeLast(':'), self.address.substringAfterLast(':').toInt())
+            transport = opened
+        } catch (e: IOException) {
+            // Tried again at the next registration, for example while the process before still holds the port.
+            log.warn("peer: cannot listen on {}: {}", self.address, e.message)
+            opened.close()
+        }
     }
 
     private fun exchangeLoads() = guarded {
