Keep new work out of evacuated data centres

Operators empty a data centre by a record in the store, which was not read: requests went on to upstreams that were about to end. Readiness follows from registrations. An evacuation that an older copy of the store lacks stays until its record or, after a time to repeat it, a newer configuration says otherwise.

Without a record the cost of a request is one read of an empty set.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/FeedFollower.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FeedFollower.kt
@@ -18,6 +18,9 @@
      * expired.
      */
     fun onStoreRecovered(atMs: Long)
+
+    /** Called before [onSnapshot] and [onChanges] with the position that their records reach. */
+    fun onPosition(position: FeedPosition) = Unit
 }
 
 /** Follows a [RecordFeed] on its own thread: reads the newest record of each key first, then the changes. */
@@ -62,6 +65,7 @@
         read.storeRecoveredAtMs?.let(listener::onStoreRecovered)
         next = read.next
         val items = decode(read.records)
+        listener.onPosition(read.next)
         if (read.isSnapshot) listener.onSnapshot(items.toMap(), read.provenAt) else listener.onChanges(items, read.provenAt)
     }
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/FeedPacings.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FeedPacings.kt
@@ -9,8 +9,11 @@
      * The configuration must be confirmed within [revocationMs], after which revoked keys are refused. When it is
      * read through a reader, that time has to cover the reader's own wait, a long poll of the reader and a pull from another
      * reader. A new configuration must be in force within [applyMs], also if it is read on a connection that has become silent.
+     * The same holds for an evacuation and [evacuationMs].
      */
-    fun ofConfig(revocationMs: Long, applyMs: Long) = FeedPacing(
+    fun ofOperator(revocationMs: Long, applyMs: Long, evacuationMs: Long) = ofConfig(revocationMs, minOf(applyMs, evacuationMs))
+
+    private fun ofConfig(revocationMs: Long, applyMs: Long) = FeedPacing(
         waitMs = minOf(revocationMs * 2 / 5, applyMs / 2),
         answerMs = applyMs / 5,
         periodMs = CONFIG_PERIOD_MS,
--- a/node/src/main/kotlin/org/godwitwick/node/forward/FleetView.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FleetView.kt
@@ -2,6 +2,9 @@
 
 import org.godwitwick.core.forward.ClockReading
 import org.godwitwick.core.forward.ConfigGate
+import org.godwitwick.core.forward.Evacuations
+import org.godwitwick.core.forward.OperatorRecord
+import org.godwitwick.core.forward.Placement
 import org.godwitwick.core.forward.RoutingConfig
 import org.godwitwick.core.forward.RoutingState
 import org.godwitwick.core.forward.UpstreamDirectory
@@ -11,17 +14,22 @@
 import org.slf4j.LoggerFactory
 
 /**
- * Routing configuration and upstreams as last read from the store. Written by the control thread; other threads read the
- * published snapshots.
+ * Routing configuration, evacuations and upstreams as last read from the store. Written by the control thread; other threads read
+ * the published snapshots.
+ *
+ * @param evacuationMs time within which an evacuation is in force.
  */
 class FleetView(
     private val control: ControlThread,
     private val loads: UpstreamLoads,
     private val statements: UpstreamStatements,
+    evacuationMs: Long,
     private val nowMs: () -> Long,
 ) {
     private val gate = ConfigGate()
     private val directory = UpstreamDirectory()
+    private val evacuations = Evacuations(evacuationMs)
+    private val reported = HashSet<String>()
 
     /** The routing table in force and when it was last proven to be current. */
     @Volatile
@@ -33,17 +41,45 @@
     var upstreams: Map<String, List<UpstreamEntry>> = emptyMap()
         private set
 
+    /** Whether an upstream is registered that is not leaving, be its data centre evacuated or not. */
+    @Volatile
+    var hasRegistered = false
+        private set
+
+    /** The evacuated data centres. */
+    @Volatile
+    var evacuated: Set<String> = emptySet()
+        private set
+
     init {
         control.every(EXPIRY_PERIOD_MS) { publish() }
     }
 
-    /** Listener of the configuration feed. */
-    val configListener = object : FeedListener<RoutingConfig> {
-        override fun onSnapshot(items: Map<String, RoutingConfig?>, provenAt: ClockReading) = onChanges(items.toList(), provenAt)
+    /** Listener of the feed of the operators' records. */
+    val operatorListener = object : FeedListener<OperatorRecord> {
+        private var position = FeedPosition(0, 0)
 
-        override fun onChanges(items: List<Pair<String, RoutingConfig?>>, provenAt: ClockReading) = control.post {
-            items.forEach { (key, config) -> if (config == null) warnMalformed(key) else accept(config) }
-            this@FleetView.routing = RoutingState(gate.table, later(routing.provenAt, provenAt))
+        override fun onPosition(position: FeedPosition) {
+            this.position = position
+        }
+
+        override fun onSnapshot(items: Map<String, OperatorRecord?>, provenAt: ClockReading) {
+            val at = position
+            control.post {
+                val present = items.values.filterIsInstance<OperatorRecord.Evacuation>().filterNot { it.isWithdrawn }
+                evacuations.onSnapshot(present.mapTo(HashSet()) { it.dataCentre }, at.era, at.offset)
+                items.filterValues { it !is OperatorRecord.Evacuation }.forEach(::accept)
+                onRead(provenAt)
+            }
+        }
+
+        override fun onChanges(items: List<Pair<String, OperatorRecord?>>, provenAt: ClockReading) {
+            val at = position
+            control.post {
+                items.forEach { (key, record) -> accept(key, record) }
+                evacuations.onPosition(at.era, at.offset)
+                onRead(provenAt)
+            }
         }
 
         override fun onStoreRecovered(atMs: Long) = Unit
@@ -69,8 +105,21 @@
     private fun later(known: ClockReading?, new: ClockReading): ClockReading =
         if (known != null && known.steadyMs > new.steadyMs) known else new
 
+    // The configuration counts as confirmed only when the evacuations read with it are in force.
+    private fun onRead(provenAt: ClockReading) {
+        if (evacuations.dataCentres != evacuated) publish()
+        routing = RoutingState(gate.table, later(routing.provenAt, provenAt))
+    }
+
+    private fun accept(key: String, record: OperatorRecord?) = when (record) {
+        is OperatorRecord.Configuration -> accept(record.config)
+        is OperatorRecord.Evacuation -> evacuations.onRecord(record)
+        null -> warnMalformed(key)
+    }
+
     private fun accept(config: RoutingConfig) {
         if (gate.accept(config)) {
+            evacuations.onNewerConfiguration(nowMs())
             log.info("config: version {} with {} routes is in force", config.version, config.routes.size)
         } else {
             log.info("config: version {} is not newer than {}", config.version, gate.table?.config?.version)
@@ -80,10 +129,26 @@
     private fun warnMalformed(key: String) =
         log.warn("config: record {} could not be decoded; the configuration in force is kept", key)
 
+    /** Whether [entry] is in no evacuated data centre. */
+    fun isUsable(entry: UpstreamEntry): Boolean = evacuated.let { it.isEmpty() || entry.dataCentre !in it }
+
+    /** Whether neither the upstream of [placement] nor one of its helpers is in an evacuated data centre. */
+    fun isUsable(placement: Placement): Boolean =
+        evacuated.isEmpty() || (isUsable(placement.upstream) && placement.helpers.all { isUsable(it.upstream) })
+
     private fun publish() {
         directory.expire(nowMs())
-        val usable = directory.usable
-        statements.retain(usable)
+        evacuations.expire(nowMs())
+        val current = evacuations.dataCentres
+        val registered = directory.usable
+        hasRegistered = registered.isNotEmpty()
+        statements.retain(registered)
+        publishUsable(if (current.isEmpty()) registered else registered.filter { it.dataCentre !in current })
+        reportEvacuations(current, registered)
+        evacuated = current
+    }
+
+    private fun publishUsable(usable: List<UpstreamEntry>) {
         val known = upstreams.values.flatten().associateBy { it.id }
         val present = usable.associateBy { it.id }
         if (known == present) return
@@ -93,6 +158,29 @@
         loads.retain(present.keys)
     }
 
+    // An evacuation may be read before the registrations, so it is reported once those are known.
+    private fun reportEvacuations(current: Set<String>, registered: List<UpstreamEntry>) {
+        (evacuated - current).forEach { log.info("evacuation: that of {} is withdrawn", it) }
+        reported.retainAll(current)
+        if (registered.isEmpty()) return
+        (current - reported).forEach { dataCentre ->
+            reported += dataCentre
+            val count = registered.count { it.dataCentre == dataCentre }
+            if (count > 0) {
+                log.info(
+                    "evacuation: {} upstreams of {} get no new work, {} remain",
+                    count,
+                    dataCentre,
+                    upstreams.values.sumOf {
+                        it.size
+                    },
+                )
+            } else {
+                log.warn("evacuation: {} has no registered upstream; the evacuation stays in force", dataCentre)
+            }
+        }
+    }
+
     private companion object {
         const val EXPIRY_PERIOD_MS = 500L
         val log = LoggerFactory.getLogger(FleetView::class.java)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
@@ -12,6 +12,7 @@
  * @param limitedCount returns the number of upstreams that state a limit.
  * @param leavingCount returns the number of registered upstreams that have stated that they are leaving.
  * @param cutOff returns 1 while this instance is cut off from all upstreams, otherwise 0.
+ * @param evacuatedCount returns the number of evacuated data centres.
  */
 class ForwardMetrics(
     registry: PrometheusRegistry,
@@ -19,6 +20,7 @@
     limitedCount: () -> Int,
     leavingCount: () -> Int,
     cutOff: () -> Int,
+    evacuatedCount: () -> Int,
 ) {
     private val requests = Counter.builder()
         .name("godwitwick_forwarded_requests_total")
@@ -58,6 +60,7 @@
         gauge(registry, "godwitwick_forward_limited_upstreams", "Upstreams that state a limit.", limitedCount)
         gauge(registry, "godwitwick_forward_leaving_upstreams", "Registered upstreams that have stated they leave.", leavingCount)
         gauge(registry, "godwitwick_forward_cut_off", "Whether no upstream accepts connections of this instance.", cutOff)
+        gauge(registry, "godwitwick_forward_evacuated_data_centres", "Evacuated data centres.", evacuatedCount)
     }
 
     /** Counts a send to another instance that ended with [result]. */
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -3,8 +3,8 @@
 import org.godwitwick.core.forward.FeedSourceSelector
 import org.godwitwick.core.forward.ForwardAdmission
 import org.godwitwick.core.forward.KeyFreshness
+import org.godwitwick.core.forward.OperatorRecord
 import org.godwitwick.core.forward.PlacementRule
-import org.godwitwick.core.forward.RoutingConfig
 import org.godwitwick.core.forward.StreamTimeoutRule
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.forward.reserveShareOf
@@ -29,7 +29,7 @@
 class ForwardNode(
     private val settings: ForwardSettings,
     dialect: ForwardDialect,
-    configFeed: RecordFeed<RoutingConfig>,
+    configFeed: RecordFeed<OperatorRecord>,
     upstreamFeed: RecordFeed<UpstreamEntry>,
     registry: InstanceRegistry,
     quarantines: QuarantineStore,
@@ -53,7 +53,7 @@
     private val statements =
         UpstreamStatements(self.id, { peers.fleet.ids }, Clocks::steadyMs) { row -> peers.sendStatement(row) }
     private val freshness = KeyFreshness(settings.revocationMs)
-    private val fleetView = FleetView(control, loads, statements, Clocks::steadyMs)
+    private val fleetView = FleetView(control, loads, statements, settings.evacuationMs, Clocks::steadyMs)
     private val relay: Relay = Relay(
         peers.fleet::others,
         { fleetView.upstreams.mapValues { (_, entries) -> entries.map { it.address } } },
@@ -63,7 +63,7 @@
     ) { client.closeIdle() }
     private val relayHeaders = RelayHeaders { peers.secret }
     private val client: ForwardClient = ForwardClient(dialect, CONNECT_TIMEOUT_MS, statements::onAnswer, relay, relayHeaders)
-    private val reservations = Reservations(client, dialect, holdMsOf(settings))
+    private val reservations = Reservations(client, dialect, holdMsOf(settings), fleetView::isUsable)
     private val runs = RunWatch(Clocks::steadyMs)
     private val inFlight = InFlightExchanges()
     private val context = ForwardContext(
@@ -89,6 +89,7 @@
             statements::limitedCount,
             statements::leavingCount,
             { if (relay.isCutOff) 1 else 0 },
+            { fleetView.evacuated.size },
         ),
         random = Random.Default,
         relay = relay,
@@ -97,7 +98,7 @@
         bodyMemory = BodyMemory(settings.bodyMemoryBytes, Clocks::steadyMs).also { it.register(metrics.registry) },
     )
     private val configFollower =
-        follower(CONFIG_FEED, configFeed, FeedPacings.ofConfig(settings.revocationMs, settings.applyMs), fleetView.configListener)
+        follower(CONFIG_FEED, configFeed, operatorPacingOf(settings), fleetView.operatorListener)
     private val upstreamFollower =
         follower(UPSTREAM_FEED, upstreamFeed, FeedPacings.ofUpstreams(settings.leavingMs), fleetView.upstreamListener)
 
@@ -134,7 +135,7 @@
     val isReady: Boolean
         get() {
             val config = fleetView.routing
-            val knowsFleet = config.table != null && fleetView.upstreams.isNotEmpty()
+            val knowsFleet = config.table != null && fleetView.hasRegistered
             return !drain.isDraining && knowsFleet && freshness.mayAcceptKeys(config.provenAt, Clocks.read())
         }
 
@@ -242,6 +243,9 @@
          */
         const val HOLD_MARGIN_MS = 1_000L
 
+        fun operatorPacingOf(settings: ForwardSettings) =
+            FeedPacings.ofOperator(settings.revocationMs, settings.applyMs, settings.evacuationMs)
+
         fun holdMsOf(settings: ForwardSettings) = (settings.freeMs - HOLD_MARGIN_MS).coerceIn(HOLD_MARGIN_MS, settings.maxHoldMs)
     }
 }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardSettings.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardSettings.kt
@@ -13,6 +13,7 @@
  * @property revocationMs time after which no instance may accept a revoked key.
  * @property applyMs time within which a new configuration must be in force.
  * @property leavingMs time within which a leaving upstream gets no new work.
+ * @property evacuationMs time within which the upstreams of an evacuated data centre get no new work.
  * @property retryFraction retries per request that the whole fleet may send to a service.
  * @property retryReserve number of further retries for the whole fleet within [retryWindowMs].
  * @property retryWindowMs time over which retries are counted.
@@ -44,4 +45,5 @@
     val freeMs: Long,
     val graceMs: Long,
     val bodyMemoryBytes: Long = bodyMemoryBytes(),
+    val evacuationMs: Long = 5_000,
 )
--- a/node/src/main/kotlin/org/godwitwick/node/forward/Reservations.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/Reservations.kt
@@ -17,9 +17,15 @@
  * Reserves KV cache of engines for prompts that exceed the KV cache of one engine.
  *
  * A reservation lasts [holdMs] and is extended while its request is in progress, so that those of a crashed instance expire soon.
+ *
+ * @param isUsable whether an upstream may get new work; asked when an order is sent, as orders wait for a thread.
  */
-class Reservations(private val client: ForwardClient, private val dialect: ForwardDialect, private val holdMs: Long) :
-    AutoCloseable {
+class Reservations(
+    private val client: ForwardClient,
+    private val dialect: ForwardDialect,
+    private val holdMs: Long,
+    private val isUsable: (UpstreamEntry) -> Boolean = { true },
+) : AutoCloseable {
     private val orders = Executors.newFixedThreadPool(ORDER_THREADS) { Thread(it, "reservations").apply { isDaemon = true } }
     private val timer = Executors.newSingleThreadScheduledExecutor { Thread(it, "reservation-timer").apply { isDaemon = true } }
 
@@ -33,7 +39,7 @@
         val names = wanted.associateWith { UUID.randomUUID().toString() }
         val replies = orders.invokeAll(
             names.map { (helper, name) ->
-                Callable { helper to order(helper, name) }
+                Callable { helper to if (isUsable(helper.upstream)) order(helper, name) else ReservationReply.REFUSED }
             },
         ).map { it.get() }
         val reserved = ReservedHelpers(placement.helpers.associateWith { names[it] })
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunFailures.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunFailures.kt
@@ -43,7 +43,7 @@
         }
         return Failure(
             ErrorKind.NO_UPSTREAM,
-            "no upstream of the service is registered, or all are leaving",
+            "no upstream of the service is registered, or all are leaving or evacuated",
             retryAfterMs = NO_UPSTREAM_RETRY_MS,
         )
     }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamAttempt.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamAttempt.kt
@@ -11,6 +11,7 @@
 import org.godwitwick.core.forward.callerPatienceMs
 import org.godwitwick.core.forward.failureOf
 import org.godwitwick.core.forward.urgencyOf
+import org.slf4j.LoggerFactory
 
 /** Attempts of one request at the upstreams: places it, waits for the engines, sends it and reads the answer. Used by one thread. */
 internal class UpstreamAttempt(private val state: RunState, private val steps: RunSteps, private val answers: AttemptAnswer) {
@@ -50,6 +51,16 @@
             val end = AttemptEnd.NotSent("KV cache for the prompt could not be reserved")
             return steps.decideNext(admitted.route, null, end, null)
         }
+        if (!context.fleetView.isUsable(placement)) {
+            reservedHelpers.release()
+            progress.end()
+            log.info(
+                "forward: {} is placed again, as the data centre of {} or a helper is evacuated",
+                request.id,
+                placement.upstream.id,
+            )
+            return null
+        }
         val endAttempt = {
             guard.detach()
             progress.end()
@@ -110,4 +121,8 @@
 
     private fun placementFailure(serviceName: String): Failure = state.lastEnd?.let { failureOf(it, state.counts) }
         ?: RunFailures.noPlacement(hasUpstream = placer.presentAt(serviceName).isNotEmpty())
+
+    private companion object {
+        val log = LoggerFactory.getLogger(ForwardRun::class.java)
+    }
 }
--- a/standins/src/main/kotlin/org/godwitwick/standins/platform/PlatformTexts.kt
+++ b/standins/src/main/kotlin/org/godwitwick/standins/platform/PlatformTexts.kt
@@ -56,6 +56,12 @@
 }
 
 /** Text of the registration of an upstream at [address], with an unknown field. */
-fun upstreamRegistration(service: String, address: String, state: String = "ready", sequence: Int = 1): String =
-    """{"service":"$service","address":"$address","zone":"north-a","version":"v1","slots":11,"state":"$state",""" +
-        """"cold-remaining-ms":0,"sequence":$sequence,"born":${7 + sequence / 2},"a-new-field":{}}"""
+fun upstreamRegistration(
+    service: String,
+    address: String,
+    state: String = "ready",
+    sequence: Int = 1,
+    dataCentre: String = "north-a",
+    coldRemainingMs: Long = 0,
+): String = """{"service":"$service","address":"$address","zone":"$dataCentre","version":"v1","slots":11,"state":"$state",""" +
+    """"cold-remaining-ms":$coldRemainingMs,"sequence":$sequence,"born":${7 + sequence / 2},"a-new-field":{}}"""
