Limit what the fleet sends to cold upstreams

A replica that has just started, or whose data centre returns, got its usual share of the traffic at once, although it accepts few requests and crashes above that. A cold upstream now counts as one that states the rate of its service until its cold time is over, known from registrations, answers, new processes and the end of evacuations. Half of the bound goes to one set of agreed senders, so that two sets without a common instance stay within it. Where all upstreams are limited, a request waits only for a send that is in time.

In model time the most that arrived in one second stayed within the bound for agreeing, growing and disjoint lists of up to 126 instances, with and without restarts (ColdUpstreamsTest). ColdTrackerTest (5), ColdUpstreamTest (5), EvacuationsTest, EvacuationTest, UpstreamLimitsTest, UpstreamStatementsTest, UpstreamStatementTest and RecordedFormatsTest pass; the other tests were not run.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/Evacuations.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/Evacuations.kt
@@ -15,15 +15,22 @@
     private class Evacuation(var isConfirmed: Boolean, var endsAtMs: Long = Long.MAX_VALUE)
 
     private val evacuations = HashMap<String, Evacuation>()
+    private val ended = HashSet<String>()
     private var latestEra: Long? = null
     private var latestOffset = 0L
 
     /** The evacuated data centres. */
     val dataCentres: Set<String> get() = evacuations.keys.toSet()
 
-    /** Records that [dataCentre] is evacuated, or that its evacuation is withdrawn. */
+    /** Whether evacuations have ended since the last call of [takeEnded]. */
+    val hasEnded: Boolean get() = ended.isNotEmpty()
+
+    /** Returns the data centres whose evacuation has ended since the last call. */
+    fun takeEnded(): Set<String> = if (ended.isEmpty()) emptySet() else ended.toSet().also { ended.clear() }
+
+    /** Applies [record], in the order of the store. */
     fun onRecord(record: OperatorRecord.Evacuation) {
-        if (record.isWithdrawn) evacuations.remove(record.dataCentre) else confirm(record.dataCentre)
+        if (record.isWithdrawn) end { it == record.dataCentre } else confirm(record.dataCentre)
     }
 
     /**
@@ -34,12 +41,7 @@
         val known = latestEra
         if (known != null && era > known) evacuations.values.forEach { it.isConfirmed = false }
         val isCurrent = known == null || era > known || (era == known && offset >= latestOffset)
-        if (isCurrent) {
-            evacuations.entries.removeAll { (dataCentre, evacuation) ->
-                evacuation.isConfirmed &&
-                    dataCentre !in present
-            }
-        }
+        if (isCurrent) end { it !in present && evacuations.getValue(it).isConfirmed }
         present.forEach(::confirm)
         onPosition(era, offset)
     }
@@ -57,8 +59,14 @@
         if (!it.isConfirmed) it.endsAtMs = minOf(it.endsAtMs, nowMs + confirmMs)
     }
 
-    /** Ends at [nowMs] the evacuations that the operators have not repeated; returns whether there are any. */
-    fun expire(nowMs: Long): Boolean = evacuations.values.removeAll { it.endsAtMs <= nowMs }
+    /** Ends at [nowMs] the evacuations that the operators have not repeated. */
+    fun expire(nowMs: Long) = end { evacuations.getValue(it).endsAtMs <= nowMs }
+
+    private fun end(isEnded: (String) -> Boolean) {
+        val ending = evacuations.keys.filter(isEnded)
+        evacuations.keys.removeAll(ending.toSet())
+        ended += ending
+    }
 
     private fun confirm(dataCentre: String) {
         evacuations[dataCentre] = Evacuation(isConfirmed = true)
--- a/core/src/main/kotlin/org/godwitwick/core/forward/RoutingConfig.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/RoutingConfig.kt
@@ -9,8 +9,13 @@
  */
 data class OrganisationKeys(val organisation: OrganisationId, val keys: List<String>, val priority: Int? = null)
 
-/** A service to which routes forward requests; [engine] is null for a plain service. */
-data class ForwardService(val name: String, val engine: EngineProfile?)
+/**
+ * A service to which routes forward requests.
+ *
+ * @property engine null for a plain service.
+ * @property cold what its cold upstreams accept, or null if they accept as much as others.
+ */
+data class ForwardService(val name: String, val engine: EngineProfile?, val cold: ColdStart? = null)
 
 /**
  * Limits on the requests and connections of callers.
--- a/core/src/main/kotlin/org/godwitwick/core/forward/RoutingTable.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/RoutingTable.kt
@@ -42,6 +42,9 @@
         return RequestRank(organisation?.let { priorities[it] } ?: routePriority, routePriority)
     }
 
+    /** Whether a service states what its cold upstreams accept. */
+    val hasColdStarts: Boolean = config.services.any { it.cold != null }
+
     /** The service with this [name], or null. */
     fun serviceOf(name: String): ForwardService? = services[name]
 }
--- a/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamEntry.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamEntry.kt
@@ -11,6 +11,8 @@
  * @property startedAtMs start time of the process as Unix time in milliseconds, or null if unknown; a new value under the same
  *   [id] means a new process.
  * @property sequence number that grows with each renewal of the registration by the same process, or null if unknown.
+ * @property coldRemainingMs time for which the upstream stays cold from the writing of the registration on, in milliseconds, or null if
+ *   it states none.
  */
 data class UpstreamEntry(
     val id: InstanceId,
@@ -21,6 +23,7 @@
     val isLeaving: Boolean,
     val startedAtMs: Long?,
     val sequence: Long? = null,
+    val coldRemainingMs: Long? = null,
 ) {
     /** Identifies the process of the upstream: one that starts again under the same [id] has another key. */
     val processKey: String get() = "${id.value}/${startedAtMs ?: 0}"
--- a/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamLimits.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamLimits.kt
@@ -19,7 +19,10 @@
  * equal share for each instance does not suffice: in a large fleet the first request of each instance alone exceeds a small limit.
  * A few instances, on which all agree, are therefore the senders of an upstream as long as it states a limit; each of them sends at
  * an equal fraction of the limit and none in advance. The others use other upstreams. An instance that does not know the fleet sends
- * nothing to such an upstream. Not thread safe.
+ * nothing to such an upstream.
+ *
+ * A cold upstream is one that states the rate of its service until its cold time is over, see [ColdRate]: its limit neither lapses
+ * before nor outlives that time. Not thread safe.
  *
  * @param self this instance.
  */
@@ -31,18 +34,29 @@
         var toldAtMs = statedAtMs
         private var senders: Senders? = null
 
-        fun senders(upstream: String, perSecond: Double, fleet: Collection<InstanceId>): Collection<InstanceId> {
-            val known = senders?.takeIf { it.fleet === fleet && it.perSecond == perSecond }
-            val current =
-                known ?: Senders(fleet, perSecond, rendezvousLowest(upstream, fleet, senderCount(perSecond, fleet.size)))
+        /** Present while the upstream is cold. */
+        var cold: Cold? = null
+
+        fun senders(upstream: String, rate: SendRate, fleet: Collection<InstanceId>): List<InstanceId> {
+            val known = senders?.takeIf { it.fleet === fleet && it.rate == rate }
+            val current = known ?: Senders(fleet, rate, rendezvousLowest(upstream, fleet, rate.senderCount(fleet.size)))
             senders = current
             return current.ids
         }
 
+        /** The rate in force at [nowMs], or null if there is no limit. */
+        fun rateAt(nowMs: Long): SendRate? {
+            val stated = perSecond?.takeIf { isInForce(nowMs) }
+            val cold = cold?.takeIf { nowMs < it.untilMs }?.rate ?: return stated?.let(::StatedRate)
+            return if (stated != null && stated < cold.perSecond) cold.copy(perSecond = stated) else cold
+        }
+
         fun isInForce(nowMs: Long): Boolean = perSecond?.let { nowMs - statedAtMs <= lapseMs(it) } ?: false
     }
 
-    private class Senders(val fleet: Collection<InstanceId>, val perSecond: Double, val ids: Collection<InstanceId>)
+    private class Senders(val fleet: Collection<InstanceId>, val rate: SendRate, val ids: List<InstanceId>)
+
+    private class Cold(val rate: ColdRate, val untilMs: Long)
 
     private val limits = HashMap<String, Limit>()
 
@@ -52,8 +66,48 @@
     /** The processes of which something is known. */
     val known: Set<String> get() = limits.keys.toSet()
 
-    /** Number of upstreams that state a limit. */
-    val limitedCount: Int get() = limits.values.count { it.perSecond != null }
+    /** Number of upstreams that state a limit or are cold. */
+    val limitedCount: Int get() = limits.values.count { it.perSecond != null || it.cold != null }
+
+    /** Number of upstreams that are cold, as of the last call of [expire]. */
+    val coldCount: Int get() = limits.values.count { it.cold != null }
+
+    /** What to tell other instances of the limit that [upstream] last stated, apart from being cold. */
+    fun newsOf(upstream: String, nowMs: Long): LimitNews {
+        val limit = limits[upstream]?.takeIf { it.statedAtMs != NEVER_MS } ?: return LimitNews(upstream, null, UNKNOWN_AGE_MS)
+        return LimitNews(upstream, limit.perSecond, nowMs - limit.statedAtMs)
+    }
+
+    /**
+     * Records that [upstream] is cold at [rate] until [untilMs], or not any more if that time has passed.
+     *
+     * @param isFresh whether no instance can have sent it anything just before; otherwise the first send waits like any other.
+     */
+    fun onCold(upstream: String, rate: ColdRate, untilMs: Long, isFresh: Boolean, fleet: Collection<InstanceId>, nowMs: Long) {
+        if (untilMs <= nowMs) {
+            limits[upstream]?.cold = null
+            return
+        }
+        val limit = limits.getOrPut(upstream) { Limit(null, NEVER_MS) }
+        val wasLimited = limit.rateAt(nowMs) != null
+        limit.cold = Cold(rate, untilMs)
+        if (wasLimited) return
+        val spacingMs = rate.spacingMs(fleet.size)
+        // The senders learn of a cold upstream at about the same moment, so their first sends are spread over one spacing.
+        val rank = limit.senders(upstream, rate, fleet).indexOf(self).coerceAtLeast(0)
+        val staggerMs = spacingMs * rank / rate.senderCount(fleet.size)
+        val firstMs = if (isFresh) staggerMs else maxOf(spacingMs, MIN_FIRST_WAIT_MS) + staggerMs
+        limit.nextSendMs = maxOf(limit.nextSendMs, nowMs + firstMs)
+    }
+
+    /** Whether [upstream] is cold at [nowMs]. */
+    fun isCold(upstream: String, nowMs: Long): Boolean = limits[upstream]?.cold?.let { nowMs < it.untilMs } ?: false
+
+    /** Forgets at [nowMs] the cold times that are over. */
+    fun expire(nowMs: Long) {
+        limits.values.forEach { limit -> if (limit.cold?.let { it.untilMs <= nowMs } == true) limit.cold = null }
+        limits.values.removeAll { it.cold == null && it.statedAtMs == NEVER_MS }
+    }
 
     /**
      * Records that an answer of [upstream] states the limit [perSecond], or none if null. Returns what to tell the other instances,
@@ -65,7 +119,9 @@
         val limit = limits.getOrPut(upstream) { Limit(null, nowMs) }
         val isChange = limit.perSecond != perSecond
         set(limit, perSecond, fleet, nowMs)
-        if (!isChange && (perSecond == null || nowMs - limit.toldAtMs < renewalMs(limit.senders(upstream, perSecond, fleet)))) {
+        if (!isChange &&
+            (perSecond == null || nowMs - limit.toldAtMs < renewalMs(limit.senders(upstream, StatedRate(perSecond), fleet)))
+        ) {
             return null
         }
         limit.toldAtMs = nowMs
@@ -91,7 +147,7 @@
 
     // What was sent before the upstream stated its limit counts against it, so the first send waits like any other.
     private fun set(limit: Limit, perSecond: Double?, fleet: Collection<InstanceId>, nowMs: Long) {
-        if (perSecond != null && limit.perSecond == null) limit.nextSendMs = nowMs + spacingMs(perSecond, fleet.size)
+        if (perSecond != null && limit.perSecond == null) limit.nextSendMs = nowMs + StatedRate(perSecond).spacingMs(fleet.size)
         limit.perSecond = perSecond
         limit.statedAtMs = nowMs
     }
@@ -102,25 +158,31 @@
      * @param fleet all instances including this one; empty if they are not known.
      */
     fun maySend(upstream: String, fleet: Collection<InstanceId>, nowMs: Long): Boolean {
-        val limit = limits[upstream]?.takeIf { it.isInForce(nowMs) } ?: return true
-        return nowMs >= limit.nextSendMs && self in limit.senders(upstream, limit.perSecond ?: return true, fleet)
+        val limit = limits[upstream] ?: return true
+        val rate = limit.rateAt(nowMs) ?: return true
+        return nowMs >= limit.nextSendMs && self in limit.senders(upstream, rate, fleet)
     }
 
     /** Records that this instance sends a request to [upstream]. */
     fun onSend(upstream: String, fleet: Collection<InstanceId>, nowMs: Long) {
         val limit = limits[upstream] ?: return
-        limit.perSecond?.let { limit.nextSendMs = nowMs + spacingMs(it, fleet.size) }
+        val rate = limit.rateAt(nowMs) ?: limit.perSecond?.let(::StatedRate) ?: return
+        limit.nextSendMs = nowMs + rate.spacingMs(fleet.size)
     }
 
-    /** Whether [upstream] states a limit at [nowMs]. */
-    fun isLimited(upstream: String, nowMs: Long): Boolean = limits[upstream]?.isInForce(nowMs) ?: false
+    /** Whether [upstream] states a limit or is cold at [nowMs]. */
+    fun isLimited(upstream: String, nowMs: Long): Boolean = limits[upstream]?.rateAt(nowMs) != null
 
-    /** Time until this instance may send to [upstream] at the earliest, or null if it is none of its senders. */
+    /** Time until this instance may send to [upstream] at the earliest, or null if that is not known: it is none of the senders. */
     fun waitMs(upstream: String, fleet: Collection<InstanceId>, nowMs: Long): Long? {
         if (maySend(upstream, fleet, nowMs)) return 0
         val limit = limits.getValue(upstream)
-        val isSender = self in limit.senders(upstream, limit.perSecond ?: return 0, fleet)
-        return if (isSender) limit.nextSendMs - nowMs else null
+        if (fleet.isEmpty()) return null
+        val isSender = self in limit.senders(upstream, limit.rateAt(nowMs) ?: return 0, fleet)
+        val nextMs = if (isSender) limit.nextSendMs - nowMs else null
+        // Without a stated limit any instance may send once the upstream is not cold any more.
+        val coldMs = limit.cold?.takeUnless { limit.isInForce(nowMs) }?.let { it.untilMs - nowMs }
+        return listOfNotNull(nextMs, coldMs).minOrNull()
     }
 
     /** Forgets the upstreams that are not in [remembered]. */
@@ -131,24 +193,18 @@
     private companion object {
         const val MS_PER_SECOND = 1e3
 
-        fun senderCount(perSecond: Double, fleetSize: Int): Int =
-            minOf(fleetSize, perSecond.toInt() + EXTRA_SENDERS).coerceAtLeast(1)
-
-        fun spacingMs(perSecond: Double, fleetSize: Int): Long = if (perSecond <= 0) {
-            LAPSE_MS
-        } else {
-            (MS_PER_SECOND * senderCount(perSecond, fleetSize) / (perSecond * USED_FRACTION)).toLong()
-        }
-
         // A small limit is stated as rarely as it allows requests.
         fun lapseMs(perSecond: Double): Long =
             if (perSecond <= 0) LAPSE_MS else maxOf(LAPSE_MS, (LAPSE_REQUESTS * MS_PER_SECOND / perSecond).toLong())
 
-        /** The rest is left for instances that do not know yet which instances are the senders. */
-        const val USED_FRACTION = 0.9
+        /** Stands for the time of a statement that was never made. */
+        const val NEVER_MS = Long.MIN_VALUE / 2
+
+        /** Age of what is told of a limit that was never stated, so that it replaces nothing that another instance knows. */
+        const val UNKNOWN_AGE_MS = 3_600_000L
 
-        /** More than one, so that a service whose upstreams all state small limits is reached through several instances. */
-        const val EXTRA_SENDERS = 3
+        /** An instance that has just started does not know when it sent last before. */
+        const val MIN_FIRST_WAIT_MS = 1_000L
 
         /** Period in which a limit that goes on is told to the other instances again. */
         const val RENEWAL_MS = 1_000L
--- a/node/src/main/kotlin/org/godwitwick/node/forward/FleetView.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FleetView.kt
@@ -23,6 +23,7 @@
     private val control: ControlThread,
     private val loads: UpstreamLoads,
     private val statements: UpstreamStatements,
+    private val cold: ColdTracker,
     evacuationMs: Long,
     private val nowMs: () -> Long,
 ) {
@@ -105,9 +106,9 @@
     private fun later(known: ClockReading?, new: ClockReading): ClockReading =
         if (known != null && known.steadyMs > new.steadyMs) known else new
 
-    // The configuration counts as confirmed only when the evacuations read with it are in force.
+    // A configuration is in force only when the evacuations read with it and the limits of its cold upstreams are.
     private fun onRead(provenAt: ClockReading) {
-        if (evacuations.dataCentres != evacuated) publish()
+        if (gate.table !== routing.table || evacuations.hasEnded || evacuations.dataCentres != evacuated) publish()
         routing = RoutingState(gate.table, later(routing.provenAt, provenAt))
     }
 
@@ -143,6 +144,8 @@
         val registered = directory.usable
         hasRegistered = registered.isNotEmpty()
         statements.retain(registered)
+        // Before they are published, so that no request is sent to an upstream that is not known to be cold yet.
+        cold.onRegistered(registered, evacuations.takeEnded(), gate.table)
         publishUsable(if (current.isEmpty()) registered else registered.filter { it.dataCentre !in current })
         reportEvacuations(current, registered)
         evacuated = current
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMessages.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMessages.kt
@@ -71,8 +71,14 @@
  * @property limitPerS requests a second that it takes from all instances together, or null if it states no limit.
  * @property isLeaving whether it is shutting down and must not receive new requests.
  * @property waitMs time for which it wants no requests from this instance, or null if it states none.
+ * @property coldMs time for which it stays cold, or null if it states none.
  */
-data class UpstreamStatement(val limitPerS: Double? = null, val isLeaving: Boolean = false, val waitMs: Long? = null)
+data class UpstreamStatement(
+    val limitPerS: Double? = null,
+    val isLeaving: Boolean = false,
+    val waitMs: Long? = null,
+    val coldMs: Long? = null,
+)
 
 /**
  * The decoded head of an upstream's answer.
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
@@ -13,6 +13,7 @@
  * @param leavingCount returns the number of registered upstreams that have stated that they are leaving.
  * @param cutOff returns 1 while this instance is cut off from all upstreams, otherwise 0.
  * @param evacuatedCount returns the number of evacuated data centres.
+ * @param coldCount returns the number of upstreams that are cold.
  */
 class ForwardMetrics(
     registry: PrometheusRegistry,
@@ -21,6 +22,7 @@
     leavingCount: () -> Int,
     cutOff: () -> Int,
     evacuatedCount: () -> Int,
+    coldCount: () -> Int,
 ) {
     private val requests = Counter.builder()
         .name("godwitwick_forwarded_requests_total")
@@ -61,6 +63,7 @@
         gauge(registry, "godwitwick_forward_leaving_upstreams", "Registered upstreams that have stated they leave.", leavingCount)
         gauge(registry, "godwitwick_forward_cut_off", "Whether no upstream accepts connections of this instance.", cutOff)
         gauge(registry, "godwitwick_forward_evacuated_data_centres", "Evacuated data centres.", evacuatedCount)
+        gauge(registry, "godwitwick_forward_cold_upstreams", "Upstreams that are cold.", coldCount)
     }
 
     /** Counts a send to another instance that ended with [result]. */
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -16,6 +16,7 @@
 import org.godwitwick.node.http.StreamingUndertow
 import org.godwitwick.node.memory.BodyMemory
 import org.godwitwick.node.metrics.NodeMetrics
+import org.godwitwick.node.peer.StatementRow
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
@@ -47,13 +48,15 @@
     private val caches = listOf(CONFIG_FEED, UPSTREAM_FEED).associateWith { FeedCache(Clocks::read) }
     private val crashGuard = CrashGuard(Clocks::steadyMs, { quarantineKeeper.save() }) { rows -> peers.sendQuarantine(rows) }
     private val peers: ForwardPeers =
-        ForwardPeers(self, registry, loads, peerLoads, caches, crashGuard, { statements.onRow(it) }, { quarantineKeeper.save() })
+        ForwardPeers(self, registry, loads, peerLoads, caches, crashGuard, ::onStatementRow, { quarantineKeeper.save() })
     private val quarantineKeeper: QuarantineKeeper =
         QuarantineKeeper(quarantines, crashGuard::lastingRows, { crashGuard.onRows("the store", it) })
     private val statements =
         UpstreamStatements(self.id, { peers.fleet.ids }, Clocks::steadyMs) { row -> peers.sendStatement(row) }
     private val freshness = KeyFreshness(settings.revocationMs)
-    private val fleetView = FleetView(control, loads, statements, settings.evacuationMs, Clocks::steadyMs)
+    private val coldTracker: ColdTracker =
+        ColdTracker(statements, settings.coldBound, { fleetView.routing.table }, Clocks::steadyMs) { peers.sendStatement(it) }
+    private val fleetView: FleetView = FleetView(control, loads, statements, coldTracker, settings.evacuationMs, Clocks::steadyMs)
     private val relay: Relay = Relay(
         peers.fleet::others,
         { fleetView.upstreams.mapValues { (_, entries) -> entries.map { it.address } } },
@@ -62,7 +65,7 @@
         Random.Default,
     ) { client.closeIdle() }
     private val relayHeaders = RelayHeaders { peers.secret }
-    private val client: ForwardClient = ForwardClient(dialect, CONNECT_TIMEOUT_MS, statements::onAnswer, relay, relayHeaders)
+    private val client: ForwardClient = ForwardClient(dialect, CONNECT_TIMEOUT_MS, ::onStatement, relay, relayHeaders)
     private val reservations = Reservations(client, dialect, holdMsOf(settings), fleetView::isUsable)
     private val runs = RunWatch(Clocks::steadyMs)
     private val inFlight = InFlightExchanges()
@@ -81,6 +84,7 @@
             settings.retryWindowMs + settings.retryWindowMs / RETRY_WINDOW_SLOTS,
         ),
         prefillQueue = PrefillQueue(MAX_WAITING),
+        limitQueue = LimitQueue(MAX_WAITING),
         crashGuard = crashGuard,
         statements = statements,
         metrics = ForwardMetrics(
@@ -90,6 +94,7 @@
             statements::leavingCount,
             { if (relay.isCutOff) 1 else 0 },
             { fleetView.evacuated.size },
+            statements::coldCount,
         ),
         random = Random.Default,
         relay = relay,
@@ -180,6 +185,13 @@
         return FeedFollower(name, reader, feed::decode, listener)
     }
 
+    private fun onStatement(upstream: UpstreamEntry, statement: UpstreamStatement) {
+        statements.onAnswer(upstream, statement)
+        coldTracker.onAnswer(upstream, statement)
+    }
+
+    private fun onStatementRow(row: StatementRow) = if (row.coldMs == null) statements.onRow(row) else coldTracker.onRow(row)
+
     private fun answerOperations(request: Request): Response = when (request.uri.path) {
         settings.readinessPath -> Response(if (isReady) Status.OK else Status.SERVICE_UNAVAILABLE)
         settings.metricsPath -> Response(Status.OK).header("Content-Type", NodeMetrics.CONTENT_TYPE).body(metrics.render())
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardSettings.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardSettings.kt
@@ -1,5 +1,6 @@
 package org.godwitwick.node.forward
 
+import org.godwitwick.core.forward.ColdBound
 import org.godwitwick.node.memory.bodyMemoryBytes
 
 /**
@@ -22,6 +23,7 @@
  * @property freeMs time within which abandoned reservations must be free again.
  * @property graceMs time between the stop signal and the forced termination.
  * @property bodyMemoryBytes memory that the bodies of requests and of buffered answers may use at once.
+ * @property coldBound bound on what a cold upstream gets from all instances together.
  */
 data class ForwardSettings(
     val instanceName: String,
@@ -46,4 +48,5 @@
     val graceMs: Long,
     val bodyMemoryBytes: Long = bodyMemoryBytes(),
     val evacuationMs: Long = 5_000,
+    val coldBound: ColdBound = ColdBound(),
 )
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
@@ -32,7 +32,7 @@
     fun place(service: ForwardService?, serviceName: String, route: ForwardRoute, wait: CallerWait): PlacementDecision {
         val known = presentAt(serviceName).filter { it.address !in avoided }
         val open = openOf(known)
-        if (open.isEmpty() && known.isNotEmpty()) return PlacementDecision.Limited(context.statements.earliestMs(known))
+        if (open.isEmpty() && known.isNotEmpty()) return PlacementDecision.Limited(context.statements.waitsMs(known))
         val pauses = context.fleetView.routing.table?.pauseTargetsOf(serviceName)
         val demand = ForwardDemand(request.size, wait, route.kind is RouteKind.Streaming, pauses)
         return placeOn(open.filterNot(::wasTried).ifEmpty { open }, demand, service)
@@ -52,10 +52,10 @@
     ): PlacementDecision {
         val decision = context.placer.place(demand, service?.engine, candidates, Clocks.steadyMs())
         if (decision !is PlacementDecision.Send) return decision
-        val upstream = decision.work.placement.upstream
-        if (context.statements.tryTake(upstream)) return decision
-        val others = candidates - upstream
-        if (others.isEmpty()) return PlacementDecision.Limited(context.statements.earliestMs(candidates))
+        val refusing = context.statements.tryTake(decision.work.placement)
+        if (refusing.isEmpty()) return decision
+        val others = candidates - refusing.toSet()
+        if (others.isEmpty()) return PlacementDecision.Limited(context.statements.waitsMs(candidates))
         return placeOn(others, demand, service)
     }
 }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamAttempt.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamAttempt.kt
@@ -6,6 +6,7 @@
 import org.godwitwick.core.forward.AttemptEnd
 import org.godwitwick.core.forward.CallerWait
 import org.godwitwick.core.forward.ForwardRoute
+import org.godwitwick.core.forward.ForwardService
 import org.godwitwick.core.forward.Placement
 import org.godwitwick.core.forward.PrefillForecast
 import org.godwitwick.core.forward.callerPatienceMs
@@ -33,8 +34,7 @@
 
             is PlacementDecision.Reject -> RunOutcome.Failed(RunFailures.backlog(decision.retryAfterMs))
 
-            is PlacementDecision.Limited ->
-                RunOutcome.Failed(RunFailures.limited(decision.retryAfterMs, context.random.nextDouble()))
+            is PlacementDecision.Limited -> awaitLimit(decision.waitsMs, spec, admitted.route)
 
             is PlacementDecision.NoUpstream -> RunOutcome.Failed(placementFailure(serviceName))
         }
@@ -109,14 +109,31 @@
         return CallerWait(sinceMs, targetMs, minOf(sinceMs + callerPatienceMs(route), guard.deadlineMs))
     }
 
+    // Returns null if the request is to be placed again. Requests wait only for services that state what their cold upstreams accept.
+    private fun awaitLimit(waitsMs: List<Long>, service: ForwardService?, route: ForwardRoute): RunOutcome? {
+        val waitMs = service?.cold?.let { context.limitQueue.begin(service.name, waitsMs, callerWait(route), Clocks.steadyMs()) }
+        if (waitMs == null) return RunOutcome.Failed(RunFailures.limited(waitsMs.firstOrNull(), context.random.nextDouble()))
+        val mayGoOn = try {
+            guard.pause(waitMs.coerceAtLeast(1))
+        } finally {
+            context.limitQueue.end(service.name)
+        }
+        return if (mayGoOn) null else RunOutcome.Failed(interruption())
+    }
+
     // Returns null if the request is to be placed again. The caller's key may have been revoked meanwhile, so the request is
     // admitted again as well.
     private fun awaitTurn(forecast: PrefillForecast): RunOutcome? {
         val hasBegun = state.turn.begin(state.service.orEmpty(), forecast, state.elapsedMs())
         if (!hasBegun) return RunOutcome.Failed(RunFailures.backlog(forecast.backlogMs.toLong()))
         if (state.turn.await()) return null
-        if (guard.cancelReason == CancelReason.STOPPING) return RunOutcome.Failed(RunFailures.stopping())
-        return RunOutcome.Failed(steps.deadlineFailure() ?: RunFailures.callerGone())
+        return RunOutcome.Failed(interruption())
+    }
+
+    private fun interruption(): Failure = if (guard.cancelReason == CancelReason.STOPPING) {
+        RunFailures.stopping()
+    } else {
+        steps.deadlineFailure() ?: RunFailures.callerGone()
     }
 
     private fun placementFailure(serviceName: String): Failure = state.lastEnd?.let { failureOf(it, state.counts) }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamStatements.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamStatements.kt
@@ -1,6 +1,9 @@
 package org.godwitwick.node.forward
 
+import org.godwitwick.core.forward.ColdChange
+import org.godwitwick.core.forward.ColdRate
 import org.godwitwick.core.forward.LimitNews
+import org.godwitwick.core.forward.Placement
 import org.godwitwick.core.forward.UpstreamAbsences
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.forward.UpstreamLimits
@@ -25,9 +28,12 @@
     private val absences = UpstreamAbsences()
     private val memory = UpstreamMemory()
 
-    /** Number of upstreams that state a limit. */
+    /** Number of upstreams that state a limit or are cold. */
     val limitedCount: Int @Synchronized get() = limits.limitedCount
 
+    /** Number of upstreams that are cold. */
+    val coldCount: Int @Synchronized get() = limits.coldCount
+
     /** Number of upstreams that have stated that they are leaving. */
     val leavingCount: Int @Synchronized get() = absences.leavingCount
 
@@ -71,6 +77,30 @@
         return result
     }
 
+    /** Applies [change], for an upstream that takes [rate] while it is cold. */
+    @Synchronized
+    fun onCold(change: ColdChange, rate: ColdRate) =
+        limits.onCold(change.upstream, rate, change.untilMs, change.isFresh, fleet(), nowMs())
+
+    /** What to tell other instances of the limit that the process [upstream] has stated. */
+    @Synchronized
+    fun limitNewsOf(upstream: String): LimitNews = limits.newsOf(upstream, nowMs())
+
+    /**
+     * Takes the right to send a request as [placement] says; returns the upstreams that don't allow that, in which case nothing is
+     * taken. A cold helper counts like a cold upstream, since it gets a part of the work at once.
+     */
+    @Synchronized
+    fun tryTake(placement: Placement): List<UpstreamEntry> {
+        val isTaken = { if (tryTake(placement.upstream)) emptyList() else listOf(placement.upstream) }
+        if (placement.helpers.isEmpty() || limits.coldCount == 0) return isTaken()
+        val now = nowMs()
+        val cold = placement.helpers.map { it.upstream }.filter { limits.isCold(it.processKey, now) }
+        val refusing = cold.filterNot { limits.maySend(it.processKey, fleet(), now) }
+        if (refusing.isNotEmpty()) return refusing
+        return isTaken().also { if (it.isEmpty()) cold.forEach { helper -> limits.onSend(helper.processKey, fleet(), now) } }
+    }
+
     /** Takes the right to send one request to [upstream] now; returns false if its limit does not allow that. */
     @Synchronized
     fun tryTake(upstream: UpstreamEntry): Boolean {
@@ -97,7 +127,7 @@
         return candidates.filter { absences.isPresent(it.processKey) }
     }
 
-    /** Those of [candidates] that state no limit. */
+    /** Those of [candidates] that state no limit and are not cold. */
     @Synchronized
     fun unlimited(candidates: List<UpstreamEntry>): List<UpstreamEntry> {
         if (limits.limitedCount == 0) return candidates
@@ -105,18 +135,19 @@
         return candidates.filterNot { limits.isLimited(it.processKey, now) }
     }
 
-    /** Time until one of [upstreams] takes a request of this instance, in milliseconds, or null if that is not known. */
+    /** Times until [upstreams] take a request of this instance, in milliseconds and ascending order, as far as they are known. */
     @Synchronized
-    fun earliestMs(upstreams: List<UpstreamEntry>): Long? {
+    fun waitsMs(upstreams: List<UpstreamEntry>): List<Long> {
         val now = nowMs()
         return upstreams.mapNotNull { upstream ->
             limits.waitMs(upstream.processKey, fleet(), now)?.let { maxOf(it, absences.waitMs(upstream.processKey, now)) }
-        }.minOrNull()
+        }.sorted()
     }
 
     /** Forgets the upstreams that have not been among [registered] for some time. Call it regularly. */
     @Synchronized
     fun retain(registered: Collection<UpstreamEntry>) {
+        limits.expire(nowMs())
         val known = limits.known + absences.known
         if (known.isEmpty()) return
         val remembered = memory.remembered(known, registered.mapTo(HashSet()) { it.processKey }, nowMs())
--- a/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
@@ -34,8 +34,8 @@
     /** The request cannot be answered in time; the engines may take it after [retryAfterMs]. */
     data class Reject(val retryAfterMs: Long) : PlacementDecision
 
-    /** All upstreams state limits that are used up; this instance may send again after [retryAfterMs], or null if that is unknown. */
-    data class Limited(val retryAfterMs: Long?) : PlacementDecision
+    /** All upstreams state limits that are used up; this instance may send to them again after [waitsMs], as far as that is known. */
+    data class Limited(val waitsMs: List<Long>) : PlacementDecision
 
     /** No upstream can take the request. */
     data object NoUpstream : PlacementDecision
--- a/standins/src/main/kotlin/org/godwitwick/standins/platform/PlatformTexts.kt
+++ b/standins/src/main/kotlin/org/godwitwick/standins/platform/PlatformTexts.kt
@@ -40,7 +40,17 @@
  * Text of configuration [version] with the routes `/draft/` (streams), `/charge/` (unsafe) and `/status/` (safe) of the host
  * `menu.example`, and with the keys of each organisation.
  */
-fun platformConfig(version: Int, keys: Map<String, List<String>>, timeoutMs: Int = 10_000, maxBodyBytes: Int = 1_000): String {
+fun platformConfig(
+    version: Int,
+    keys: Map<String, List<String>>,
+    timeoutMs: Int = 10_000,
+    maxBodyBytes: Int = 1_000,
+    coldPerS: Double? = null,
+    coldStartS: Double = 0.0,
+    targetMs: Int? = null,
+): String {
+    val cold = coldPerS?.let { ""","cold-per-s":$it,"cold-start-s":$coldStartS""" }.orEmpty()
+    val target = targetMs?.let { ""","target-latency-ms":$it""" }.orEmpty()
     val organisations = keys.entries.joinToString(",") { (name, ofName) ->
         """{"name":"$name","api-keys":[${ofName.joinToString(",") { "\"$it\"" }}]}"""
     }
@@ -49,9 +59,9 @@
          "target-latency-ms":300,"target-gap-ms":250,"service":"model","attempts":2,"resumable":true,"sticky-sessions":true},
         {"name":"r2","host":"menu.example","path-prefix":"/charge/","kind":"unsafe","timeout-ms":$timeoutMs,"service":"desk","attempts":2},
         {"name":"r3","host":"menu.example","path-prefix":"/status/","kind":"safe","timeout-ms":$timeoutMs,
-         "traffic-split":[{"service":"desk","weight":100}],"attempts":2}],
+         "traffic-split":[{"service":"desk","weight":100}],"attempts":2$target}],
         "services":[{"name":"model","engine":{"slots":11,"kv-cache-tokens":232000,"read_per_s":206000.0,"pairs_per_m":0.138}},
-        {"name":"desk"}],"tenants":[$organisations],
+        {"name":"desk"$cold}],"tenants":[$organisations],
         "limits":{"max-header-bytes":16384,"max-body-bytes":$maxBodyBytes,"header-timeout-ms":3000,"idle-timeout-ms":15000}}"""
 }
 
