Handle requests in their allowed regions only

Routes and organisations may state the regions in which their requests are handled, and this was not read. Without an upstream inside, a request is refused at once with the reason. A data centre of unknown region is outside.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/ForwardAdmission.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/ForwardAdmission.kt
@@ -10,8 +10,13 @@
 /** Target of a caller's request; [key] is the key that the caller presented, or null. */
 data class ForwardTarget(val host: String, val path: String, val key: String?)
 
-/** Route and organisation of an admitted request; [organisation] is null if the route needs no key. */
-data class AdmittedTarget(val route: ForwardRoute, val organisation: OrganisationId?)
+/**
+ * Route and organisation of an admitted request.
+ *
+ * @property organisation null if the route needs no key.
+ * @property regions regions in which the request may be handled, or null for all.
+ */
+data class AdmittedTarget(val route: ForwardRoute, val organisation: OrganisationId?, val regions: Set<String>? = null)
 
 /**
  * Configuration of an instance and how recent it is.
@@ -34,11 +39,11 @@
         val isFresh = freshness.mayAcceptKeys(routingState.provenAt, now)
         val route = table.routeOf(target.host, target.path)
             ?: return Err(if (isFresh) Failure(ErrorKind.NOT_FOUND, "no route for this host and path") else stale())
-        if (route.isPublic || !table.needsKeys) return Ok(AdmittedTarget(route, null))
+        if (route.isPublic || !table.needsKeys) return Ok(AdmittedTarget(route, null, route.allowedRegions))
         if (!isFresh) return Err(stale())
         val organisation = target.key?.let(table::organisationOf)
             ?: return Err(Failure(ErrorKind.UNAUTHENTICATED, "no valid key in the Authorization header"))
-        return Ok(AdmittedTarget(route, organisation))
+        return Ok(AdmittedTarget(route, organisation, table.allowedRegionsOf(route, organisation)))
     }
 
     private fun stale() = unconfirmed("the configuration has not been confirmed for too long")
--- a/core/src/main/kotlin/org/godwitwick/core/forward/ForwardRoute.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/ForwardRoute.kt
@@ -13,6 +13,7 @@
  * @property maxRuns maximum number of upstreams on which one request may run.
  * @property isPublic whether the route accepts callers without a key.
  * @property priority stated priority, where 0 is the most urgent one, or null if none is stated.
+ * @property allowedRegions regions in which its requests may be handled, or null for all.
  */
 data class ForwardRoute(
     val name: String,
@@ -26,6 +27,7 @@
     val maxRuns: Int,
     val isPublic: Boolean,
     val priority: Int? = null,
+    val allowedRegions: Set<String>? = null,
 ) {
     /** Returns this route with at most [runs] upstreams on which one request may run. */
     fun limitedTo(runs: Int): ForwardRoute = copy(maxRuns = maxRuns.coerceAtMost(runs))
--- a/core/src/main/kotlin/org/godwitwick/core/forward/RoutingConfig.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/RoutingConfig.kt
@@ -6,8 +6,14 @@
  * An organisation and the valid keys of its callers.
  *
  * @property priority stated priority, which precedes that of the route, or null if none is stated.
+ * @property allowedRegions regions in which its requests may be handled, or null for all.
  */
-data class OrganisationKeys(val organisation: OrganisationId, val keys: List<String>, val priority: Int? = null)
+data class OrganisationKeys(
+    val organisation: OrganisationId,
+    val keys: List<String>,
+    val priority: Int? = null,
+    val allowedRegions: Set<String>? = null,
+)
 
 /**
  * A service to which routes forward requests.
--- a/core/src/main/kotlin/org/godwitwick/core/forward/RoutingTable.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/RoutingTable.kt
@@ -42,6 +42,15 @@
         return RequestRank(organisation?.let { priorities[it] } ?: routePriority, routePriority)
     }
 
+    private val allowedRegions: Map<OrganisationId, Set<String>> = config.organisations.orEmpty()
+        .mapNotNull { entry -> entry.allowedRegions?.let { entry.organisation to it } }.toMap()
+
+    /** Regions in which a request of [organisation], or of a caller without a key if null, on [route] may be handled; null for all. */
+    fun allowedRegionsOf(route: ForwardRoute, organisation: OrganisationId?): Set<String>? {
+        if (allowedRegions.isEmpty()) return route.allowedRegions
+        return commonRegions(route.allowedRegions, organisation?.let(allowedRegions::get))
+    }
+
     /** Whether a service states what its cold upstreams accept. */
     val hasColdStarts: Boolean = config.services.any { it.cold != null }
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/FleetView.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FleetView.kt
@@ -170,14 +170,8 @@
             reported += dataCentre
             val count = registered.count { it.dataCentre == dataCentre }
             if (count > 0) {
-                log.info(
-                    "evacuation: {} upstreams of {} get no new work, {} remain",
-                    count,
-                    dataCentre,
-                    upstreams.values.sumOf {
-                        it.size
-                    },
-                )
+                val remaining = upstreams.values.sumOf { it.size }
+                log.info("evacuation: {} upstreams of {} get no new work, {} remain", count, dataCentre, remaining)
             } else {
                 log.warn("evacuation: {} has no registered upstream; the evacuation stays in force", dataCentre)
             }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
@@ -1,6 +1,7 @@
 package org.godwitwick.node.forward
 
 import org.godwitwick.core.forward.ForwardAdmission
+import org.godwitwick.core.forward.Regions
 import org.godwitwick.core.forward.StreamTimeoutRule
 import org.godwitwick.node.memory.BodyMemory
 import kotlin.random.Random
@@ -31,4 +32,5 @@
     val relayHeaders: RelayHeaders,
     val onLongPromptPlaced: () -> Unit,
     val bodyMemory: BodyMemory,
+    val regions: Regions,
 )
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
@@ -42,6 +42,12 @@
         .labelNames("result")
         .withoutExemplars()
         .register(registry)
+    private val regionRefusals = Counter.builder()
+        .name("godwitwick_forward_region_refusals_total")
+        .help("Requests that were refused because no upstream is in an allowed region.")
+        .labelNames("service")
+        .withoutExemplars()
+        .register(registry)
     private val firstByte =
         histogram(registry, "godwitwick_forward_first_byte_seconds", "Time from the arrival to the first byte.")
     private val duration =
@@ -69,6 +75,9 @@
     /** Counts a send to another instance that ended with [result]. */
     fun recordRelay(result: String) = relayed.labelValues(result).inc()
 
+    /** Counts a request to [service] that was refused because no upstream is in an allowed region. */
+    fun recordRegionRefusal(service: String) = regionRefusals.labelValues(service).inc()
+
     private fun gauge(registry: PrometheusRegistry, name: String, help: String, value: () -> Int) =
         GaugeWithCallback.builder().name(name).help(help).callback { it.call(value().toDouble()) }.register(registry)
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -101,6 +101,7 @@
         relayHeaders = relayHeaders,
         onLongPromptPlaced = peers::sendLoadSoon,
         bodyMemory = BodyMemory(settings.bodyMemoryBytes, Clocks::steadyMs).also { it.register(metrics.registry) },
+        regions = settings.regions,
     )
     private val configFollower =
         follower(CONFIG_FEED, configFeed, operatorPacingOf(settings), fleetView.operatorListener)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardSettings.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardSettings.kt
@@ -1,6 +1,7 @@
 package org.godwitwick.node.forward
 
 import org.godwitwick.core.forward.ColdBound
+import org.godwitwick.core.forward.Regions
 import org.godwitwick.node.memory.bodyMemoryBytes
 
 /**
@@ -24,6 +25,7 @@
  * @property graceMs time between the stop signal and the forced termination.
  * @property bodyMemoryBytes memory that the bodies of requests and of buffered answers may use at once.
  * @property coldBound bound on what a cold upstream gets from all instances together.
+ * @property regions regions of the data centres.
  */
 data class ForwardSettings(
     val instanceName: String,
@@ -49,4 +51,5 @@
     val bodyMemoryBytes: Long = bodyMemoryBytes(),
     val evacuationMs: Long = 5_000,
     val coldBound: ColdBound = ColdBound(),
+    val regions: Regions = Regions(),
 )
--- a/node/src/main/kotlin/org/godwitwick/node/forward/Relay.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/Relay.kt
@@ -91,10 +91,13 @@
         }
     }
 
-    /** Returns the instance to which a request goes next that was sent to [tried] before, or null if there is none. */
+    /**
+     * Returns the instance to which a request goes next that was sent to [tried] before, or null if there is none for which [isAllowed]
+     * returns true.
+     */
     @Synchronized
-    fun choose(tried: Set<InstanceId>): RegisteredInstance? {
-        val usable = others().filterValues { it.callerAddress != null }
+    fun choose(tried: Set<InstanceId>, isAllowed: (RegisteredInstance) -> Boolean = { true }): RegisteredInstance? {
+        val usable = others().filterValues { it.callerAddress != null && isAllowed(it) }
         return peers.choose(usable.keys, tried, nowMs())?.let(usable::get)
     }
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
@@ -1,7 +1,7 @@
 package org.godwitwick.node.forward
 
+import org.godwitwick.core.forward.AdmittedTarget
 import org.godwitwick.core.forward.CallerWait
-import org.godwitwick.core.forward.ForwardRoute
 import org.godwitwick.core.forward.ForwardService
 import org.godwitwick.core.forward.RouteKind
 import org.godwitwick.core.forward.UpstreamEntry
@@ -24,17 +24,19 @@
         avoided += address
     }
 
-    /** The upstreams of the service called [serviceName] that are not leaving. */
-    fun presentAt(serviceName: String): List<UpstreamEntry> =
-        context.statements.present(context.fleetView.upstreams[serviceName].orEmpty())
+    /** The upstreams of the service called [serviceName] that are not leaving and are in one of [regions]; null allows all. */
+    fun presentAt(serviceName: String, regions: Set<String>?): List<UpstreamEntry> {
+        val present = context.statements.present(context.fleetView.upstreams[serviceName].orEmpty())
+        return if (regions == null) present else present.filter { context.regions.allowsUpstream(regions, it.dataCentre) }
+    }
 
-    /** Places the request at the service called [serviceName], for a caller that has waited as [wait] says. */
-    fun place(service: ForwardService?, serviceName: String, route: ForwardRoute, wait: CallerWait): PlacementDecision {
-        val known = presentAt(serviceName).filter { it.address !in avoided }
+    /** Places the request as [target] says at the service called [serviceName], for a caller that has waited as [wait] says. */
+    fun place(service: ForwardService?, serviceName: String, target: AdmittedTarget, wait: CallerWait): PlacementDecision {
+        val known = presentAt(serviceName, target.regions).filter { it.address !in avoided }
         val open = openOf(known)
         if (open.isEmpty() && known.isNotEmpty()) return PlacementDecision.Limited(context.statements.waitsMs(known))
         val pauses = context.fleetView.routing.table?.pauseTargetsOf(serviceName)
-        val demand = ForwardDemand(request.size, wait, route.kind is RouteKind.Streaming, pauses)
+        val demand = ForwardDemand(request.size, wait, target.route.kind is RouteKind.Streaming, pauses)
         return placeOn(open.filterNot(::wasTried).ifEmpty { open }, demand, service)
     }
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestRelay.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RequestRelay.kt
@@ -17,12 +17,15 @@
         failedConnections++
     }
 
-    /** Returns the instance through which the request goes next, or null if this instance sends it itself. */
-    fun nextPeer(): RegisteredInstance? {
+    /**
+     * Returns the instance through which the request goes next, one for which [isAllowed] returns true, or null if this instance sends it
+     * itself.
+     */
+    fun nextPeer(isAllowed: (RegisteredInstance) -> Boolean): RegisteredInstance? {
         if (request.hop != null || !reachesNone()) return null
         // If only the upstreams that were tried are down, the other instances don't reach them either.
         if (!relay.isCutOff && usedPeers.isNotEmpty()) return null
-        val peer = relay.choose(usedPeers) ?: return null
+        val peer = relay.choose(usedPeers, isAllowed) ?: return null
         usedPeers += peer.id
         log.info("forward: {} goes through {}", request.id, peer.id)
         return peer
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunFailures.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunFailures.kt
@@ -48,6 +48,19 @@
         )
     }
 
+    /** No upstream of the service is in one of [regions], in which alone the request may be handled. */
+    fun noRegion(regions: Set<String>) = Failure(
+        ErrorKind.NO_UPSTREAM,
+        if (regions.isEmpty()) {
+            "the regions allowed for the route and for the organisation have none in common"
+        } else {
+            "no upstream of the service is in a region allowed for the request: ${regions.sorted().take(
+                MAX_NAMED_REGIONS,
+            ).joinToString()}"
+        },
+        retryAfterMs = NO_UPSTREAM_RETRY_MS,
+    )
+
     /** This instance reaches no upstream and serves no requests of other instances meanwhile. */
     fun cutOff() = Failure(
         ErrorKind.NO_UPSTREAM,
@@ -70,6 +83,9 @@
     /** Lower bound of the retry delay that callers are advised while upstreams have too much to do. */
     private const val MIN_BACKLOG_RETRY_MS = 300L
 
+    /** Bounds the length of a message. */
+    private const val MAX_NAMED_REGIONS = 8
+
     /** Retry delay that callers are advised; upstreams renew their registration about once a second. */
     private const val NO_UPSTREAM_RETRY_MS = 500L
 }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamAttempt.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamAttempt.kt
@@ -24,7 +24,7 @@
     /** Makes one attempt at the service called [serviceName]; returns null if the request is to be placed again. */
     fun run(admitted: AdmittedTarget, serviceName: String, lastEventId: Long?): RunOutcome? {
         val spec = context.fleetView.routing.table?.serviceOf(serviceName)
-        return when (val decision = placer.place(spec, serviceName, admitted.route, callerWait(admitted.route))) {
+        return when (val decision = placer.place(spec, serviceName, admitted, callerWait(admitted.route))) {
             is PlacementDecision.Send -> {
                 state.turn.end(state.elapsedMs())
                 sendPlaced(decision.work, admitted, lastEventId)
@@ -36,7 +36,7 @@
 
             is PlacementDecision.Limited -> awaitLimit(decision.waitsMs, spec, admitted.route)
 
-            is PlacementDecision.NoUpstream -> RunOutcome.Failed(placementFailure(serviceName))
+            is PlacementDecision.NoUpstream -> RunOutcome.Failed(placementFailure(serviceName, admitted.regions))
         }
     }
 
@@ -136,8 +136,21 @@
         steps.deadlineFailure() ?: RunFailures.callerGone()
     }
 
-    private fun placementFailure(serviceName: String): Failure = state.lastEnd?.let { failureOf(it, state.counts) }
-        ?: RunFailures.noPlacement(hasUpstream = placer.presentAt(serviceName).isNotEmpty())
+    private fun placementFailure(serviceName: String, regions: Set<String>?): Failure {
+        state.lastEnd?.let { return failureOf(it, state.counts) }
+        val hasUpstream = placer.presentAt(serviceName, regions).isNotEmpty()
+        if (hasUpstream || regions == null) return RunFailures.noPlacement(hasUpstream)
+        context.metrics.recordRegionRefusal(serviceName)
+        val elsewhere = placer.presentAt(serviceName, null).size
+        log.info(
+            "forward: {} may be handled in {} only; {} has {} upstreams elsewhere",
+            request.id,
+            regions,
+            serviceName,
+            elsewhere,
+        )
+        return RunFailures.noRegion(regions)
+    }
 
     private companion object {
         val log = LoggerFactory.getLogger(ForwardRun::class.java)
