--- a/lab/src/main/kotlin/org/godwitwick/lab/slopes/SlopesCommand.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/slopes/SlopesCommand.kt
@@ -19,6 +19,7 @@
 import org.godwitwick.node.control.LoadRows
 import org.godwitwick.node.control.ReplicaDirectory
 import picocli.CommandLine.Command
+import picocli.CommandLine.Option
 import java.util.concurrent.Callable
 import kotlin.random.Random
 
@@ -44,21 +45,37 @@
 
 /** All measurements of one run. */
 @Serializable
-data class Slopes(val replicaSlopes: List<ReplicaSlope>, val organisationSlopes: List<OrganisationSlope>)
+data class Slopes(
+    val placementSlopes: List<PlacementSlope>,
+    val replicaSlopes: List<ReplicaSlope> = emptyList(),
+    val organisationSlopes: List<OrganisationSlope> = emptyList(),
+)
 
-/** Measures how decision time, heap bytes and row bytes grow with the number of replicas and of organisations. */
+/** Measures how decision time, heap bytes and row bytes grow with the number of upstreams, replicas and organisations. */
 @Command(name = "slopes", mixinStandardHelpOptions = true, description = ["Prints decision time and bytes per row as JSON."])
 class SlopesCommand : Callable<Int> {
+    @Option(names = ["--placement-only"], description = ["Measures only the placements of the forward path."])
+    var isPlacementOnly = false
+
     override fun call(): Int {
+        val placement = PlacementSlopes()
+        // Discarded, as below.
+        placement.measure(100)
+        val placementSlopes = listOf(78, 100, 333, 1_000, 4_000, 12_000).map(placement::measure)
+        val slopes = if (isPlacementOnly) Slopes(placementSlopes) else allSlopes(placementSlopes)
+        println(Json { prettyPrint = true }.encodeToString(slopes))
+        return 0
+    }
+
+    private fun allSlopes(placementSlopes: List<PlacementSlope>): Slopes {
         // Discarded: these rounds give the JIT compiler time to compile the measured code.
         repeat(2) { listOf(100, 1_000).forEach(::replicaSlope) }
-        val slopes = Slopes(
+        return Slopes(
+            placementSlopes,
             listOf(100, 1_000, 4_000, 12_000).map(::replicaSlope),
             // The first measurement with 10 organisations is a warm-up and is dropped.
             listOf(10, 10, 170, 1_700).map(::organisationSlope).drop(1),
         )
-        println(Json { prettyPrint = true }.encodeToString(slopes))
-        return 0
     }
 
     private fun replicaSlope(replicas: Int): ReplicaSlope {
