Look at a sample of the upstreams for each placement

A placement shuffled all upstreams, built a view of each, added up all reports, sorted all by hash and filtered whole lists, so its cost grew with the fleet. FleetView now publishes each service's upstreams as an UpstreamList, sorted once. Upstreams that a request may not use are left out by their positions. PeerLoads changes its sums when a report arrives or expires; short streams are kept as running sums by service.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamEntry.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamEntry.kt
@@ -23,5 +23,9 @@
     val sequence: Long? = null,
 ) {
     /** Identifies the process of the upstream: one that starts again under the same [id] has another key. */
-    val processKey: String get() = "${id.value}/${startedAtMs ?: 0}"
+    val processKey: String get() = "${id.value}$PROCESS_SEPARATOR${startedAtMs ?: 0}"
+
+    internal companion object {
+        const val PROCESS_SEPARATOR = '/'
+    }
 }
--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
@@ -14,6 +14,7 @@
 import org.godwitwick.core.forward.SilenceTimer
 import org.godwitwick.core.forward.StreamTimeoutRule
 import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.core.forward.UpstreamList
 import org.godwitwick.core.forward.WeightedService
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.forward.ForwardDemand
@@ -89,7 +90,6 @@
             PlacementRule(random, variant.placement, PrefillSplitRule(variant.split)),
             loads,
             peerLoads,
-            random,
             { instances.size },
             PrefillStartRule(variant.start),
         )
@@ -114,6 +114,8 @@
             PassEngine(mix.speed, ::schedule, { inProgress.getValue(it).work.onPrefillDone() }, ::end)
     }
 
+    private val upstreams = UpstreamList.of(engines.keys)
+
     private class Sent(
         val instance: Instance,
         val attempt: ModelAttempt,
@@ -179,7 +181,7 @@
         val targetMs = if (request.lastEventMs.isNaN()) request.kind.targetMs else request.kind.pauseTargetMs
         val wait = CallerWait(sinceMs, targetMs, sinceMs + request.patienceMs.toLong())
         val demand = ForwardDemand(size, wait, isStreaming = true, pauses)
-        val decision = instance.placer.place(demand, profile, engines.keys.toList(), nowMs.toLong())
+        val decision = instance.placer.place(demand, profile, upstreams, nowMs.toLong())
         when (decision) {
             is PlacementDecision.Send -> begin(request, size, decision.work, instance)
 
--- a/lab/src/main/kotlin/org/godwitwick/lab/slopes/PlacementSlopes.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/slopes/PlacementSlopes.kt
@@ -8,6 +8,7 @@
 import org.godwitwick.core.forward.PlacementRule
 import org.godwitwick.core.forward.RequestSize
 import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.core.forward.UpstreamList
 import org.godwitwick.core.forward.UpstreamWork
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.forward.ForwardDemand
@@ -45,10 +46,11 @@
         val upstreams = List(upstreamCount) {
             UpstreamEntry(InstanceId("engine-$it"), "llm", "10.0.0.$it:80", "dc-${it % DATA_CENTRES}", 8, false, startedAtMs = 1)
         }
+        val list = UpstreamList.of(upstreams)
         val loads = UpstreamLoads()
         val peerLoads = PeerLoads()
         val statements = UpstreamStatements(InstanceId("entry-0"), { emptyList() }, { NOW_MS }, {})
-        val placer = WorkPlacer(PlacementRule(random), loads, peerLoads, random, { DATA_CENTRES * INSTANCES })
+        val placer = WorkPlacer(PlacementRule(random), loads, peerLoads, { DATA_CENTRES * INSTANCES })
         val reports = upstreams.groupBy { it.dataCentre }.map { (dataCentre, entries) ->
             val work = entries.associate { ForwardLoad.keyOf(it.id) to workOf(random) }
             ForwardLoad.of(work, NOW_MS, INSTANCES, LoadScope.DATA_CENTRE, dataCentre)
@@ -60,7 +62,7 @@
         }
         val demands = PROMPTS.associate { (tokens, targetMs) -> tokens to demandOf(tokens, targetMs) }
         fun place(demand: ForwardDemand) {
-            val open = statements.open(statements.present(upstreams))
+            val open = statements.open(statements.present(list))
             placer.place(demand, PROFILE, if (demand.size?.isShort == true) open else statements.unlimited(open), NOW_MS)
         }
         return PlacementSlope(
--- a/node/src/main/kotlin/org/godwitwick/node/forward/FleetView.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FleetView.kt
@@ -6,6 +6,7 @@
 import org.godwitwick.core.forward.RoutingState
 import org.godwitwick.core.forward.UpstreamDirectory
 import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.core.forward.UpstreamList
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.control.ControlThread
 import org.slf4j.LoggerFactory
@@ -28,9 +29,9 @@
     var routing = RoutingState(null, null)
         private set
 
-    /** Upstreams that may get new work, by service. */
+    /** Upstreams that may get new work, by service; ordered once for all requests. */
     @Volatile
-    var upstreams: Map<String, List<UpstreamEntry>> = emptyMap()
+    var upstreams: Map<String, UpstreamList> = emptyMap()
         private set
 
     init {
@@ -89,7 +90,7 @@
         if (known == present) return
         (present.keys - known.keys).forEach { log.info("upstream: {} is usable", present.getValue(it)) }
         (known.keys - present.keys).forEach { log.info("upstream: {} gets no new work", it) }
-        upstreams = usable.groupBy { it.service }
+        upstreams = usable.groupBy { it.service }.mapValues { UpstreamList.of(it.value) }
         loads.retain(present.keys)
     }
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -70,7 +70,7 @@
         dialect = dialect,
         fleetView = fleetView,
         admission = ForwardAdmission(freshness),
-        placer = WorkPlacer(PlacementRule(Random.Default), loads, peerLoads, Random.Default, peers.fleet::instanceCount),
+        placer = WorkPlacer(PlacementRule(Random.Default), loads, peerLoads, peers.fleet::instanceCount),
         streamTimeouts = StreamTimeoutRule(settings.stallMs),
         client = client,
         reservations = reservations,
--- a/node/src/main/kotlin/org/godwitwick/node/forward/PeerLoads.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/PeerLoads.kt
@@ -1,35 +1,105 @@
 package org.godwitwick.node.forward
 
 import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.core.forward.UpstreamList
 import org.godwitwick.core.forward.UpstreamWork
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.peer.ForwardLoad
 import org.godwitwick.node.peer.LoadScope
 import java.util.concurrent.ConcurrentHashMap
 
-/** The work of the other instances, from the last report of each instance or from the totals that collectors report. */
+/**
+ * The work of the other instances, from the last report of each instance or from the totals that collectors report.
+ *
+ * The sums over the reports are changed when a report arrives or expires, by the difference from the sender's previous one, so that
+ * a placement does not add up the work of the whole fleet.
+ */
 class PeerLoads {
     private class Report(val load: ForwardLoad, val atMs: Long, val work: Map<Int, UpstreamWork>)
 
     private val instanceReports = ConcurrentHashMap<InstanceId, Report>()
     private val dataCentreReports = ConcurrentHashMap<String, Report>()
-    private val fleetReports = ConcurrentHashMap<InstanceId, Report>()
+    private val fleetReports = HashMap<InstanceId, Report>()
+    private var lastFleetReport: Report? = null
+    private val fleetShortStreams = ShortStreamSums { shortStreamsIn(lastFleetReport?.work.orEmpty()) }
+
+    // Reports of instances and data centres that are contained in the sums, in order of arrival.
+    private val counted = LinkedHashSet<Report>()
+    private var countedInstances = 0
+
+    // Read by placements while reports change it; a placement that sees a part of a report is as good as one just before or after.
+    private val countedWork = ConcurrentHashMap<Int, UpstreamWork>()
+    private val countedShortStreams = ShortStreamSums { shortStreamsIn(countedWork) }
 
     /** Stores the report [load] of instance [from], unless a newer report has already arrived. */
-    fun onReport(from: InstanceId, load: ForwardLoad, nowMs: Long) = when (load.scope) {
-        LoadScope.INSTANCE -> instanceReports.replaceIfNewer(from, load, nowMs)
-        LoadScope.DATA_CENTRE -> dataCentreReports.replaceIfNewer(load.dataCentre, load, nowMs)
-        LoadScope.FLEET -> fleetReports.replaceIfNewer(from, load, nowMs)
+    fun onReport(from: InstanceId, load: ForwardLoad, nowMs: Long) {
+        val report = Report(load, nowMs, load.byUpstream())
+        synchronized(this) {
+            when (load.scope) {
+                LoadScope.INSTANCE -> instanceReports.replaceIfNewer(from, report, ::count)
+
+                LoadScope.DATA_CENTRE -> dataCentreReports.replaceIfNewer(load.dataCentre, report, ::count)
+
+                LoadScope.FLEET -> fleetReports.replaceIfNewer(from, report) { _, new ->
+                    lastFleetReport = new
+                    fleetShortStreams.refresh()
+                }
+            }
+        }
+    }
+
+    private inline fun <K : Any> MutableMap<K, Report>.replaceIfNewer(
+        key: K,
+        report: Report,
+        onReplaced: (Report?, Report) -> Unit,
+    ) {
+        val last = this[key]
+        if (last != null && last.load.isNewerThan(report.load)) return
+        this[key] = report
+        onReplaced(last, report)
+    }
+
+    // Replaces [last] by [new] in the sums; both are of the same sender.
+    private fun count(last: Report?, new: Report) {
+        val before = last?.takeIf(counted::remove)
+        counted += new
+        countedInstances += new.load.instances - (before?.load?.instances ?: 0)
+        new.work.forEach { (key, work) -> changeWork(key, before?.work?.get(key) ?: NO_WORK, work) }
+        before?.work?.forEach { (key, work) -> if (key !in new.work) changeWork(key, work, NO_WORK) }
+    }
+
+    private fun removeExpired(nowMs: Long) {
+        while (counted.isNotEmpty()) {
+            val oldest = counted.first()
+            if (oldest.isFresh(nowMs)) return
+            counted.remove(oldest)
+            countedInstances -= oldest.load.instances
+            oldest.work.forEach { (key, work) -> changeWork(key, work, NO_WORK) }
+        }
     }
 
-    private fun <K : Any> ConcurrentHashMap<K, Report>.replaceIfNewer(key: K, load: ForwardLoad, nowMs: Long) {
-        compute(key) { _, last -> last?.takeIf { it.load.isNewerThan(load) } ?: Report(load, nowMs, load.byUpstream()) }
+    // All terms are whole numbers, so that the sums stay exact however often they are changed.
+    private fun changeWork(key: Int, before: UpstreamWork, after: UpstreamWork) {
+        if (before == after) return
+        val sum = (countedWork[key] ?: NO_WORK) + after - before
+        if (sum == NO_WORK) countedWork.remove(key) else countedWork[key] = sum
+        countedShortStreams.add(key, after.shortStreams - before.shortStreams)
     }
 
+    private fun shortStreamsIn(work: Map<Int, UpstreamWork>) = work.asSequence().map { (key, part) -> key to part.shortStreams }
+
     /** Work of all other instances at [nowMs]. Reports older than [MAX_AGE_MS] do not count. */
+    @Synchronized
     fun at(nowMs: Long): PeerWork {
-        val sources = sources(nowMs)
-        return PeerWork(sum(sources.map { it.work }), sources.sumOf { it.load.instances })
+        removeExpired(nowMs)
+        // Either the reports of instances and data centres or the newest total of the fleet, whichever covers more instances, so that
+        // no work is counted twice.
+        val total = lastFleetReport?.takeIf { it.isFresh(nowMs) && it.load.instances > countedInstances }
+        return if (total == null) {
+            PeerWork(countedWork, countedInstances) { synchronized(this) { countedShortStreams.at(it) } }
+        } else {
+            PeerWork(total.work, total.load.instances) { synchronized(this) { fleetShortStreams.at(it) } }
+        }
     }
 
     /** Time since the last report of [instance], in milliseconds, or null if there was none. */
@@ -47,31 +117,31 @@
         )
     }
 
-    // Uses either the reports of instances and data centres or the newest total of the fleet, whichever covers more instances, so
-    // that no work is counted twice.
-    private fun sources(nowMs: Long): List<Report> {
-        val partial = (instanceReports.values + dataCentreReports.values).filter { it.isFresh(nowMs) }
-        val total = fleetReports.values.filter { it.isFresh(nowMs) }.maxByOrNull { it.atMs }
-        return if (total != null && total.load.instances > partial.sumOf { it.load.instances }) listOf(total) else partial
-    }
-
     private fun Report.isFresh(nowMs: Long): Boolean = nowMs - atMs <= MAX_AGE_MS
 
     private companion object {
         /** Several periods of the load exchange; an instance that is silent for longer has ended or is unreachable. */
         const val MAX_AGE_MS = 1_000L
+        val NO_WORK = UpstreamWork()
     }
 }
 
 /**
- * The work of the other instances at one point in time.
+ * The work of the other instances.
  *
  * @property instances number of other instances whose work is known.
  */
-class PeerWork(private val work: Map<Int, UpstreamWork>, val instances: Int) {
+class PeerWork internal constructor(
+    private val work: Map<Int, UpstreamWork>,
+    val instances: Int,
+    private val shortStreams: (UpstreamList) -> Int,
+) {
     /** Total work of the other instances at [entry]. */
     fun workAt(entry: UpstreamEntry): UpstreamWork = work[ForwardLoad.keyOf(entry.id)] ?: NONE
 
+    /** Number of the other instances' short streams at all upstreams of the service of [upstreams]. */
+    fun shortStreamsAt(upstreams: UpstreamList): Int = shortStreams(upstreams)
+
     private companion object {
         val NONE = UpstreamWork()
     }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
@@ -5,6 +5,7 @@
 import org.godwitwick.core.forward.ForwardService
 import org.godwitwick.core.forward.RouteKind
 import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.core.forward.UpstreamList
 
 /** Chooses the upstream for each send of one request, preferring those not tried before. Used by one thread. */
 class RequestPlacer(private val context: ForwardContext, private val request: CallerRequest) {
@@ -25,31 +26,27 @@
     }
 
     /** The upstreams of the service called [serviceName] that are not leaving. */
-    fun presentAt(serviceName: String): List<UpstreamEntry> =
-        context.statements.present(context.fleetView.upstreams[serviceName].orEmpty())
+    fun presentAt(serviceName: String): UpstreamList =
+        context.statements.present(context.fleetView.upstreams[serviceName] ?: UpstreamList.EMPTY)
 
     /** Places the request at the service called [serviceName], for a caller that has waited as [wait] says. */
     fun place(service: ForwardService?, serviceName: String, route: ForwardRoute, wait: CallerWait): PlacementDecision {
-        val known = presentAt(serviceName).filter { it.address !in avoided }
+        val known = presentAt(serviceName).withoutAddresses(avoided)
         val open = openOf(known)
         if (open.isEmpty() && known.isNotEmpty()) return PlacementDecision.Limited(context.statements.earliestMs(known))
         val pauses = context.fleetView.routing.table?.pauseTargetsOf(serviceName)
         val demand = ForwardDemand(request.size, wait, route.kind is RouteKind.Streaming, pauses)
-        return placeOn(open.filterNot(::wasTried).ifEmpty { open }, demand, service)
+        return placeOn(open.without(triedProcesses).ifEmpty { open }, demand, service)
     }
 
     // The helpers of a long prompt take load as well, so it is placed on upstreams without a limit where there are some.
-    private fun openOf(known: List<UpstreamEntry>): List<UpstreamEntry> {
+    private fun openOf(known: UpstreamList): UpstreamList {
         val open = context.statements.open(known)
         return if (request.size?.isShort == false) context.statements.unlimited(open).ifEmpty { open } else open
     }
 
     // Another request of this instance may have taken what an upstream still allows.
-    private tailrec fun placeOn(
-        candidates: List<UpstreamEntry>,
-        demand: ForwardDemand,
-        service: ForwardService?,
-    ): PlacementDecision {
+    private tailrec fun placeOn(candidates: UpstreamList, demand: ForwardDemand, service: ForwardService?): PlacementDecision {
         val decision = context.placer.place(demand, service?.engine, candidates, Clocks.steadyMs())
         if (decision !is PlacementDecision.Send) return decision
         val upstream = decision.work.placement.upstream
--- a/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamLoads.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamLoads.kt
@@ -2,6 +2,7 @@
 
 import org.godwitwick.core.forward.Placement
 import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.core.forward.UpstreamList
 import org.godwitwick.core.forward.UpstreamWork
 import org.godwitwick.core.model.InstanceId
 
@@ -52,18 +53,25 @@
             heldTokens,
         )
 
-        fun penaltyAt(nowMs: Long): Double = penaltyMs * Math.pow(0.5, (nowMs - penaltyAtMs).toDouble() / PENALTY_HALF_LIFE_MS)
+        fun penaltyAt(nowMs: Long): Double =
+            if (penaltyMs == 0.0) 0.0 else penaltyMs * Math.pow(0.5, (nowMs - penaltyAtMs).toDouble() / PENALTY_HALF_LIFE_MS)
     }
 
     private val loads = HashMap<InstanceId, UpstreamLoad>()
+    private val shortStreams =
+        ShortStreamSums { loads.asSequence().map { (id, load) -> UpstreamList.hashOf(id) to load.shortStreams } }
 
     /** Unfinished work of this instance at [entry]. */
     @Synchronized
-    fun workAt(entry: UpstreamEntry, nowMs: Long): UpstreamWork = loadOf(entry).workAt(nowMs)
+    fun workAt(entry: UpstreamEntry, nowMs: Long): UpstreamWork = knownLoadOf(entry)?.workAt(nowMs) ?: NO_WORK
 
     /** Penalty of [entry] for recent failures, in milliseconds. */
     @Synchronized
-    fun penaltyOf(entry: UpstreamEntry, nowMs: Long): Double = loadOf(entry).penaltyAt(nowMs)
+    fun penaltyOf(entry: UpstreamEntry, nowMs: Long): Double = knownLoadOf(entry)?.penaltyAt(nowMs) ?: 0.0
+
+    /** Number of this instance's short streams at all upstreams of the service of [upstreams]. */
+    @Synchronized
+    fun shortStreamsAt(upstreams: UpstreamList): Int = shortStreams.at(upstreams)
 
     /** Unfinished work of this instance, by upstream; upstreams without any are left out. */
     @Synchronized
@@ -75,20 +83,20 @@
     fun begin(work: PlacedWork, nowMs: Long): WorkInProgress {
         val first = addShare(work.placement.upstream, work, nowMs, work.heldTokens)
         first.load.running++
-        if (work.isShortStream) first.load.shortStreams++
+        if (work.isShortStream) changeShortStreams(first, 1)
         val helpers = work.placement.helpers.map { addShare(it.upstream, work, nowMs, it.reservedTokens) }
         helpers.forEach { it.load.helping++ }
         return CountedWork(work, first, helpers)
     }
 
-    private class EngineShare(val load: UpstreamLoad, val prefill: Prefill, val heldTokens: Long)
+    private class EngineShare(val id: InstanceId, val load: UpstreamLoad, val prefill: Prefill, val heldTokens: Long)
 
     private fun addShare(entry: UpstreamEntry, work: PlacedWork, nowMs: Long, heldTokens: Long): EngineShare {
         val load = loadOf(entry)
         val prefill = Prefill(nowMs + (work.queuedPrefillMs[entry.id] ?: 0.0), work.prefillMs)
         load.prefills += prefill
         load.heldTokens += heldTokens
-        return EngineShare(load, prefill, heldTokens)
+        return EngineShare(entry.id, load, prefill, heldTokens)
     }
 
     /** Adds a penalty for a failure of [entry] at [nowMs], so that the next placements prefer other upstreams. */
@@ -106,11 +114,22 @@
         loads.entries.removeAll { (id, load) -> id !in known && load.running == 0 && load.helping == 0 }
     }
 
-    private fun loadOf(entry: UpstreamEntry): UpstreamLoad {
-        val load = loads.getOrPut(entry.id) { UpstreamLoad(entry.startedAtMs) }
+    private fun loadOf(entry: UpstreamEntry): UpstreamLoad =
+        knownLoadOf(entry) ?: UpstreamLoad(entry.startedAtMs).also { loads[entry.id] = it }
+
+    // Null if there is none, so that placements that only look at an upstream leave nothing behind.
+    private fun knownLoadOf(entry: UpstreamEntry): UpstreamLoad? {
+        val load = loads[entry.id] ?: return null
         if (load.startedAtMs == entry.startedAtMs) return load
         // A new process with the same id has none of the work of the previous one.
-        return UpstreamLoad(entry.startedAtMs).also { loads[entry.id] = it }
+        loads.remove(entry.id)
+        shortStreams.add(UpstreamList.hashOf(entry.id), -load.shortStreams)
+        return null
+    }
+
+    private fun changeShortStreams(share: EngineShare, change: Int) {
+        share.load.shortStreams += change
+        if (loads[share.id] === share.load) shortStreams.add(UpstreamList.hashOf(share.id), change)
     }
 
     /** Handle of work that was added by [begin]. */
@@ -145,12 +164,14 @@
             isEnded = true
             onPrefillDone()
             first.load.running--
-            if (work.isShortStream) first.load.shortStreams--
+            if (work.isShortStream) changeShortStreams(first, -1)
             (helpers + first).forEach { it.load.heldTokens -= it.heldTokens }
         }
     }
 
     private companion object {
+        val NO_WORK = UpstreamWork()
+
         /** Penalty of one failure, in milliseconds: about the prefill time of a long prompt on one engine. */
         const val PENALTY_MS = 400.0
         const val MAX_PENALTY_MS = 3_000.0
--- a/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamStatements.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamStatements.kt
@@ -4,6 +4,7 @@
 import org.godwitwick.core.forward.UpstreamAbsences
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.forward.UpstreamLimits
+import org.godwitwick.core.forward.UpstreamList
 import org.godwitwick.core.forward.UpstreamMemory
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.peer.StatementRow
@@ -75,34 +76,37 @@
     @Synchronized
     fun tryTake(upstream: UpstreamEntry): Boolean {
         val now = nowMs()
-        val isAllowed =
-            absences.waitMs(upstream.processKey, now) == 0L && limits.maySend(upstream.processKey, fleet(), now)
+        val isAllowed = isOpen(upstream.processKey, now)
         if (isAllowed) limits.onSend(upstream.processKey, fleet(), now)
         return isAllowed
     }
 
     /** Those of [candidates] that take a request now, by what they have stated. */
     @Synchronized
-    fun open(candidates: List<UpstreamEntry>): List<UpstreamEntry> {
+    fun open(candidates: UpstreamList): UpstreamList {
         val now = nowMs()
-        return candidates.filter {
-            absences.waitMs(it.processKey, now) == 0L && limits.maySend(it.processKey, fleet(), now)
-        }
+        return candidates.without(known().filterNot { isOpen(it, now) })
     }
 
+    private fun isOpen(process: String, now: Long): Boolean =
+        absences.waitMs(process, now) == 0L && limits.maySend(process, fleet(), now)
+
+    // The few upstreams that have stated something are looked at instead of all that are registered.
+    private fun known(): Set<String> = limits.known + absences.known
+
     /** Those of [candidates] that have not stated that they are leaving. */
     @Synchronized
-    fun present(candidates: List<UpstreamEntry>): List<UpstreamEntry> {
+    fun present(candidates: UpstreamList): UpstreamList {
         if (absences.leavingCount == 0) return candidates
-        return candidates.filter { absences.isPresent(it.processKey) }
+        return candidates.without(absences.known.filterNot(absences::isPresent))
     }
 
     /** Those of [candidates] that state no limit. */
     @Synchronized
-    fun unlimited(candidates: List<UpstreamEntry>): List<UpstreamEntry> {
+    fun unlimited(candidates: UpstreamList): UpstreamList {
         if (limits.limitedCount == 0) return candidates
         val now = nowMs()
-        return candidates.filterNot { limits.isLimited(it.processKey, now) }
+        return candidates.without(limits.known.filter { limits.isLimited(it, now) })
     }
 
     /** Time until one of [upstreams] takes a request of this instance, in milliseconds, or null if that is not known. */
@@ -117,7 +121,7 @@
     /** Forgets the upstreams that have not been among [registered] for some time. Call it regularly. */
     @Synchronized
     fun retain(registered: Collection<UpstreamEntry>) {
-        val known = limits.known + absences.known
+        val known = known()
         if (known.isEmpty()) return
         val remembered = memory.remembered(known, registered.mapTo(HashSet()) { it.processKey }, nowMs())
         limits.retain(remembered)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
@@ -4,6 +4,7 @@
 import org.godwitwick.core.forward.EngineProfile
 import org.godwitwick.core.forward.PauseTargets
 import org.godwitwick.core.forward.Placement
+import org.godwitwick.core.forward.PlacementCandidates
 import org.godwitwick.core.forward.PlacementDemand
 import org.godwitwick.core.forward.PlacementRule
 import org.godwitwick.core.forward.PrefillForecast
@@ -11,8 +12,9 @@
 import org.godwitwick.core.forward.PrefillStartRule
 import org.godwitwick.core.forward.RequestSize
 import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.core.forward.UpstreamList
 import org.godwitwick.core.forward.UpstreamView
-import kotlin.random.Random
+import org.godwitwick.core.forward.UpstreamWork
 
 /**
  * A request to be placed.
@@ -50,18 +52,16 @@
     private val rule: PlacementRule,
     private val loads: UpstreamLoads,
     private val peerLoads: PeerLoads,
-    private val random: Random,
     private val instanceCount: () -> Int?,
     private val startRule: PrefillStartRule = PrefillStartRule(),
 ) {
     /** Places [demand] on some of [candidates]. [engine] is null for plain services. */
-    fun place(demand: ForwardDemand, engine: EngineProfile?, candidates: List<UpstreamEntry>, nowMs: Long): PlacementDecision {
-        val others = peerLoads.at(nowMs)
-        val views = candidates.shuffled(random).map { viewOf(it, others, nowMs) }
-        val placement = placementOf(demand, engine, views, knownShare(others)) ?: return PlacementDecision.NoUpstream
+    fun place(demand: ForwardDemand, engine: EngineProfile?, candidates: UpstreamList, nowMs: Long): PlacementDecision {
+        val known = KnownCandidates(candidates, peerLoads.at(nowMs), nowMs)
+        val placement = placementOf(demand, engine, known) ?: return PlacementDecision.NoUpstream
         val isShortStream = demand.isStreaming && demand.size?.isShort != false
-        val engineIds = placement.helpers.mapTo(hashSetOf(placement.upstream.id)) { it.upstream.id }
-        val queuedPrefillMs = views.filter { it.entry.id in engineIds }.associate { it.entry.id to it.work.pendingPrefillMs }
+        val engines = placement.helpers.map { it.upstream } + placement.upstream
+        val queuedPrefillMs = engines.associate { it.id to known.workAt(it).pendingPrefillMs }
         val prefillMs = prefillMsOf(demand, engine, placement)
         val work = PlacedWork(placement, prefillMs, heldTokensOf(demand, placement), isShortStream, queuedPrefillMs)
         if (demand.size?.isShort != false) return PlacementDecision.Send(work)
@@ -80,20 +80,25 @@
         return engines.any { others.workAt(it).pendingPrefillMs > 0 }
     }
 
-    private fun placementOf(
-        demand: ForwardDemand,
-        engine: EngineProfile?,
-        views: List<UpstreamView>,
-        knownShare: Double,
-    ): Placement? {
+    private fun placementOf(demand: ForwardDemand, engine: EngineProfile?, candidates: KnownCandidates): Placement? {
         val size = demand.size
-        if (engine == null || size == null || demand.pauses == null) return rule.place(views)
-        return rule.place(PlacementDemand(size, demand.wait.targetMs, demand.pauses), engine, views, knownShare)
+        if (engine == null || size == null || demand.pauses == null) return rule.place(candidates)
+        val placed = PlacementDemand(size, demand.wait.targetMs, demand.pauses)
+        return rule.place(placed, engine, candidates, knownShare(candidates.others))
     }
 
-    private fun viewOf(entry: UpstreamEntry, others: PeerWork, nowMs: Long): UpstreamView {
-        val work = loads.workAt(entry, nowMs) + others.workAt(entry)
-        return UpstreamView(entry, work, loads.penaltyOf(entry, nowMs))
+    /** [upstreams] with the work that is known of them at [nowMs]. */
+    private inner class KnownCandidates(val upstreams: UpstreamList, val others: PeerWork, val nowMs: Long) :
+        PlacementCandidates {
+        override val size: Int get() = upstreams.size
+        override val shortStreams: Int get() = loads.shortStreamsAt(upstreams) + others.shortStreamsAt(upstreams)
+
+        override fun viewAt(index: Int): UpstreamView {
+            val entry = upstreams[index]
+            return UpstreamView(entry, workAt(entry), loads.penaltyOf(entry, nowMs))
+        }
+
+        fun workAt(entry: UpstreamEntry): UpstreamWork = loads.workAt(entry, nowMs) + others.workAt(entry)
     }
 
     // Share of the fleet's instances whose work is known, this one included; zero until the size of the fleet is known.
--- a/node/src/main/kotlin/org/godwitwick/node/peer/ForwardLoad.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/ForwardLoad.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
+import org.godwitwick.core.forward.UpstreamList
 import org.godwitwick.core.forward.UpstreamWork
 import org.godwitwick.core.model.InstanceId
 
@@ -70,7 +71,7 @@
         private const val MAX_REORDERING_MS = 1_000L
 
         /** Key that identifies the upstream [id] in these messages. */
-        fun keyOf(id: InstanceId): Int = id.value.hashCode()
+        fun keyOf(id: InstanceId): Int = UpstreamList.hashOf(id)
 
         /**
          * Creates the message that reports [work], keyed by [keyOf] of the upstream, at [nowMs]. Upstreams without work are left
--- a/node/src/test/kotlin/org/godwitwick/node/forward/UpstreamStatementsTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/UpstreamStatementsTest.kt
@@ -1,6 +1,7 @@
 package org.godwitwick.node.forward
 
 import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.core.forward.UpstreamList
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.peer.StatementRow
 import org.junit.jupiter.api.Test
@@ -25,7 +26,7 @@
         statements.retain(emptyList())
         nowMs += 5_000
         statements.retain(listOf(upstream))
-        expectThat(statements.present(listOf(upstream))).isEmpty()
+        expectThat(statements.present(UpstreamList.of(listOf(upstream)))).isEmpty()
     }
 
     // Guards against a limit that is lost in the same way, so that the whole fleet sends again.
