Compute the split of a prompt without sorting all candidates for each count

PrefillSplitRule sorted all candidates and computed four powers for each of 17 counts. It now keeps only the cheapest of each count and computes what is paused already once for each candidate; the costs are the same.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/PrefillSplitRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/PrefillSplitRule.kt
@@ -31,8 +31,10 @@
         // At least as many engines as are needed to finish the prefill within the target.
         val neededForTarget = ceil(totalMs / demand.targetMs.coerceAtLeast(1)).toInt()
         val minCount = maxOf(minEngines, neededForTarget).coerceIn(1, maxCount)
+        val pausedAlready =
+            DoubleArray(candidates.size) { pausedStreams(candidates[it], stallLimits, addedMs = 0.0, candidates[it] in shared) }
         return (minCount..maxCount).map { count ->
-            choice(demand, stallLimits, totalMs / count, count, candidates, shared)
+            choice(demand, stallLimits, totalMs / count, count, candidates, pausedAlready, shared)
         }.minBy { it.cost }.engines
     }
 
@@ -49,31 +51,35 @@
         partMs: Double,
         count: Int,
         candidates: List<UpstreamView>,
+        pausedAlready: DoubleArray,
         shared: Set<UpstreamView>,
     ): Choice {
-        val chosen = candidates.map { it to stallCostOf(it, stallLimits, partMs, it in shared) }
-            .sortedBy { (view, stallCost) -> stallCost + waitMs(view) / settings.msPerRequest }
-            .take(count)
-        val finishMs = partMs + chosen.maxOf { (view, _) -> waitMs(view) }
-        val cost = chosen.sumOf { it.second } + latenessCostOf(demand, finishMs) + settings.engineCost * count
-        return Choice(chosen.map { it.first }, cost)
+        val cheapest = LowestCosts(count)
+        // Streams that pause for too long because of the added part, without those that already do because of pending prefill.
+        val stallCosts = DoubleArray(candidates.size) { index ->
+            val view = candidates[index]
+            val stallCost = pausedStreams(view, stallLimits, partMs, view in shared) - pausedAlready[index]
+            cheapest.offer(index, stallCost + waitMs(view) / settings.msPerRequest)
+            stallCost
+        }
+        val chosen = cheapest.indices
+        val finishMs = partMs + chosen.maxOf { waitMs(candidates[it]) }
+        val cost = chosen.sumOf { stallCosts[it] } + latenessCostOf(demand, finishMs) + settings.engineCost * count
+        return Choice(chosen.map { candidates[it] }, cost)
     }
 
-    // Streams that pause for too long because of the added part, without those that already do because of pending prefill.
-    private fun stallCostOf(view: UpstreamView, limits: StallLimits, partMs: Double, isShared: Boolean): Double {
+    // Streams that pause for too long if [addedMs] of prefill are added to what is pending, in short requests.
+    private fun pausedStreams(view: UpstreamView, limits: StallLimits, addedMs: Double, isShared: Boolean): Double {
         val short = view.work.shortStreams + if (isShared) settings.expectedSharedStreams else settings.expectedOtherStreams
         val long = view.work.running - view.work.shortStreams
-        val beforeMs = view.work.pendingPrefillMs
-        return short * addedStallChance(beforeMs, partMs, limits.shortMs) +
-            long * settings.longStreamValue * addedStallChance(beforeMs, partMs, limits.longMs)
+        val pendingMs = view.work.pendingPrefillMs + addedMs
+        val pausedLong = if (long == 0) 0.0 else long * stallChance(pendingMs, limits.longMs)
+        return short * stallChance(pendingMs, limits.shortMs) + pausedLong * settings.longStreamValue
     }
 
-    private fun addedStallChance(beforeMs: Double, partMs: Double, limitMs: Double): Double =
-        stallChance(beforeMs + partMs, limitMs) - stallChance(beforeMs, limitMs)
-
     // Probability that a stream pauses for too long. It rises steeply near the limit, where other prefills in the pass decide.
     private fun stallChance(pendingMs: Double, limitMs: Double): Double =
-        (pendingMs / limitMs).pow(settings.stallSteepness).coerceAtMost(1.0)
+        if (pendingMs >= limitMs) 1.0 else (pendingMs / limitMs).pow(settings.stallSteepness)
 
     private fun latenessCostOf(demand: PlacementDemand, finishMs: Double): Double {
         val share = finishMs / demand.targetMs.coerceAtLeast(1)
--- a/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamList.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamList.kt
@@ -80,7 +80,18 @@
 
         /** Creates the list of [entries], which may be in any order. */
         fun of(entries: Collection<UpstreamEntry>): UpstreamList {
-            val sorted = entries.sortedWith(ORDER).toTypedArray()
+            val unsorted = entries.toTypedArray()
+            // Registrations are renewed all the time, so the list is sorted by numbers instead of by comparing the entries.
+            val keys = LongArray(unsorted.size) { (hashOf(unsorted[it].id).toLong() shl Int.SIZE_BITS) or it.toLong() }
+            keys.sort()
+            val sorted = Array(keys.size) { unsorted[keys[it].toInt()] }
+            for (end in 1..<sorted.size) {
+                var position = end
+                while (position > 0 && ORDER.compare(sorted[position - 1], sorted[position]) > 0) {
+                    sorted[position - 1] = sorted[position].also { sorted[position] = sorted[position - 1] }
+                    position--
+                }
+            }
             return UpstreamList(sorted, IntArray(sorted.size) { hashOf(sorted[it].id) }, IntArray(0))
         }
     }
--- a/lab/src/main/kotlin/org/godwitwick/lab/slopes/PlacementSlopes.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/slopes/PlacementSlopes.kt
@@ -19,12 +19,15 @@
 import org.godwitwick.node.peer.ForwardLoad
 import org.godwitwick.node.peer.LoadScope
 import java.lang.management.ManagementFactory
+import kotlin.math.roundToInt
 import kotlin.random.Random
 
 /**
- * Mean time and allocation of one placement on the forward path, by the length of the prompt.
+ * Mean processor time and allocation of one placement on the forward path, by the length of the prompt.
  *
- * @property reportMicros time to take in one report of another data centre.
+ * @param reportMicros time to take in one report of another data centre at a collector.
+ * @param fleetReportMicros time to take in one total of the fleet at an instance that is no collector.
+ * @param listMicros time to build the list of upstreams when a registration changes.
  */
 @Serializable
 data class PlacementSlope(
@@ -32,6 +35,8 @@
     val micros: Map<Long, Double>,
     val allocatedBytes: Map<Long, Long>,
     val reportMicros: Double,
+    val fleetReportMicros: Double,
+    val listMicros: Double,
 )
 
 /**
@@ -57,7 +62,10 @@
         }
         reports.forEach { peerLoads.onReport(InstanceId("collector-${it.dataCentre}"), it, NOW_MS) }
         repeat(INSTANCES - 1) { i ->
-            val work = upstreams.shuffled(random).take(INSTANCE_ROWS).associate { ForwardLoad.keyOf(it.id) to workOf(random) }
+            val work = upstreams.shuffled(random).take(rowsOfInstance(upstreamCount)).associate {
+                ForwardLoad.keyOf(it.id) to
+                    workOf(random)
+            }
             peerLoads.onReport(InstanceId("entry-${i + 1}"), ForwardLoad.of(work, NOW_MS), NOW_MS)
         }
         val demands = PROMPTS.associate { (tokens, targetMs) -> tokens to demandOf(tokens, targetMs) }
@@ -65,14 +73,29 @@
             val open = statements.open(statements.present(list))
             placer.place(demand, PROFILE, if (demand.size?.isShort == true) open else statements.unlimited(open), NOW_MS)
         }
+        val total = totalOf(upstreams, random)
+        val receiver = PeerLoads().apply { onReport(InstanceId("collector"), total, NOW_MS) }
+        receiver.at(NOW_MS).shortStreamsAt(list)
         return PlacementSlope(
             upstreamCount,
             demands.mapValues { (_, demand) -> averageMicros { place(demand) } },
             demands.mapValues { (_, demand) -> allocatedBytes { place(demand) } },
             averageMicros { peerLoads.onReport(InstanceId("collector"), reports[it % reports.size], NOW_MS) },
+            averageMicros { receiver.onReport(InstanceId("collector"), total, NOW_MS) },
+            averageMicros { UpstreamList.of(upstreams) },
         )
     }
 
+    private fun totalOf(upstreams: List<UpstreamEntry>, random: Random) = ForwardLoad.of(
+        upstreams.associate { ForwardLoad.keyOf(it.id) to workOf(random) },
+        NOW_MS,
+        DATA_CENTRES * INSTANCES - 1,
+        LoadScope.FLEET,
+    )
+
+    // In proportion to the fleet, so that the work at an upstream does not depend on the size of the fleet.
+    private fun rowsOfInstance(upstreamCount: Int) = (upstreamCount / LARGEST_FLEET * INSTANCE_ROWS).roundToInt().coerceAtLeast(1)
+
     private fun workOf(random: Random): UpstreamWork {
         val short = random.nextInt(4)
         return UpstreamWork(random.nextInt(100).toDouble(), short + random.nextInt(3), short, random.nextInt(3), 5_000L * short)
@@ -85,16 +108,18 @@
         PAUSES,
     )
 
-    // The number of calls depends on their duration, so that fast calls are compiled and slow ones do not take minutes.
+    // Processor time, which other programs on the machine affect less. The number of calls depends on their duration, so that fast
+    // calls are compiled and slow ones do not take minutes.
     private inline fun averageMicros(action: (Int) -> Unit): Double {
         var micros = 0.0
         for (budgetNs in listOf(WARM_UP_NS, MEASURED_NS)) {
-            val start = System.nanoTime()
+            val startNs = threads.currentThreadCpuTime
             var calls = 0
             do {
-                action(calls++)
-            } while (System.nanoTime() - start < budgetNs)
-            micros = (System.nanoTime() - start) / 1_000.0 / calls
+                repeat(CALLS_PER_READING) { action(calls++) }
+                val elapsedNs = threads.currentThreadCpuTime - startNs
+                micros = elapsedNs / 1_000.0 / calls
+            } while (elapsedNs < budgetNs)
         }
         return micros
     }
@@ -110,12 +135,15 @@
         const val DATA_CENTRES = 36
         const val INSTANCES = 14
 
-        /** Upstreams at which one instance has work: 12,000 / 520. */
+        const val LARGEST_FLEET = 12_000.0
+
+        /** Upstreams at which one instance of the largest fleet has work: 12,000 / 520. */
         const val INSTANCE_ROWS = 23
         const val ANSWER_TOKENS = 900L
         const val DEADLINE_MS = 10_000L
         const val WARM_UP_NS = 400_000_000L
         const val MEASURED_NS = 600_000_000L
+        const val CALLS_PER_READING = 20
         const val ALLOCATION_CALLS = 20
 
         /** Prompt tokens and target of the first event, in milliseconds. */
