--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
@@ -5,6 +5,7 @@
 import org.godwitwick.core.forward.ForwardService
 import org.godwitwick.core.forward.RouteKind
 import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.core.forward.UpstreamList
 
 /** Chooses the upstream for each send of one request, preferring those not tried before. Used by one thread. */
 class RequestPlacer(private val context: ForwardContext, private val request: CallerRequest) {
@@ -25,38 +26,34 @@
     }
 
     /** The upstreams of the service called [serviceName] that are not leaving and are in one of [regions]; null allows all. */
-    fun presentAt(serviceName: String, regions: Set<String>?): List<UpstreamEntry> {
-        val present = context.statements.present(context.fleetView.upstreams[serviceName].orEmpty())
-        return if (regions == null) present else present.filter { context.regions.allowsUpstream(regions, it.dataCentre) }
+    fun presentAt(serviceName: String, regions: Set<String>?): UpstreamList {
+        val present = context.statements.present(context.fleetView.upstreams[serviceName] ?: UpstreamList.EMPTY)
+        return if (regions == null) present else present.where { context.regions.allowsUpstream(regions, it.dataCentre) }
     }
 
     /** Places the request as [target] says at the service called [serviceName], for a caller that has waited as [wait] says. */
     fun place(service: ForwardService?, serviceName: String, target: AdmittedTarget, wait: CallerWait): PlacementDecision {
-        val known = presentAt(serviceName, target.regions).filter { it.address !in avoided }
+        val known = presentAt(serviceName, target.regions).withoutAddresses(avoided)
         val open = openOf(known)
         if (open.isEmpty() && known.isNotEmpty()) return PlacementDecision.Limited(context.statements.waitsMs(known))
         val pauses = context.fleetView.routing.table?.pauseTargetsOf(serviceName)
         val demand = ForwardDemand(request.size, wait, target.route.kind is RouteKind.Streaming, pauses)
-        return placeOn(open.filterNot(::wasTried).ifEmpty { open }, demand, service)
+        return placeOn(open.without(triedProcesses).ifEmpty { open }, demand, service)
     }
 
     // The helpers of a long prompt take load as well, so it is placed on upstreams without a limit where there are some.
-    private fun openOf(known: List<UpstreamEntry>): List<UpstreamEntry> {
+    private fun openOf(known: UpstreamList): UpstreamList {
         val open = context.statements.open(known)
         return if (request.size?.isShort == false) context.statements.unlimited(open).ifEmpty { open } else open
     }
 
     // Another request of this instance may have taken what an upstream still allows.
-    private tailrec fun placeOn(
-        candidates: List<UpstreamEntry>,
-        demand: ForwardDemand,
-        service: ForwardService?,
-    ): PlacementDecision {
+    private tailrec fun placeOn(candidates: UpstreamList, demand: ForwardDemand, service: ForwardService?): PlacementDecision {
         val decision = context.placer.place(demand, service?.engine, candidates, Clocks.steadyMs())
         if (decision !is PlacementDecision.Send) return decision
         val refusing = context.statements.tryTake(decision.work.placement)
         if (refusing.isEmpty()) return decision
-        val others = candidates - refusing.toSet()
+        val others = candidates.without(refusing.map { it.processKey })
         if (others.isEmpty()) return PlacementDecision.Limited(context.statements.waitsMs(candidates))
         return placeOn(others, demand, service)
     }
--- a/node/src/test/kotlin/org/godwitwick/node/forward/ColdTrackerTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/ColdTrackerTest.kt
@@ -8,6 +8,7 @@
 import org.godwitwick.core.forward.RoutingConfig
 import org.godwitwick.core.forward.RoutingTable
 import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.core.forward.UpstreamList
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.peer.StatementRow
 import org.junit.jupiter.api.Test
@@ -58,9 +59,9 @@
         repeat(3) { first.tracker.onAnswer(upstream, UpstreamStatement(coldMs = 4_000)) }
         second.tracker.onRow(told.single())
         expectThat(told).single().get { coldPerS }.isEqualTo(8.0)
-        expectThat(second.statements.unlimited(listOf(upstream))).isEmpty()
+        expectThat(second.statements.unlimited(UpstreamList.of(listOf(upstream))).toList()).isEmpty()
         nowMs = 4_000
-        expectThat(second.statements.unlimited(listOf(upstream))).isEqualTo(listOf(upstream))
+        expectThat(second.statements.unlimited(UpstreamList.of(listOf(upstream))).toList()).isEqualTo(listOf(upstream))
     }
 
     // Guards against an earlier version that takes the row for the end of a stated limit.
