Place requests by stated rank in services contended by rank

Cause: in bursts of digests (rank 2, target 6 s) the placement spreads prefill parts of 1 to 1.7 s over all engines, and short streams of rank 0 with a target pause of 250 ms are late on all of them.

Change: RankedPlacementRule decides for services with at least two stated priorities. Long prompts use engines without streams that outrank them, as few as meet the target, and wait while there are none. Short prompts avoid engines with prefill that makes them late. Urgency follows the rank.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/ForwardAdmission.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/ForwardAdmission.kt
@@ -10,8 +10,12 @@
 /** Target of a caller's request; [key] is the key that the caller presented, or null. */
 data class ForwardTarget(val host: String, val path: String, val key: String?)
 
-/** Route and organisation of an admitted request; [organisation] is null if the route needs no key. */
-data class AdmittedTarget(val route: ForwardRoute, val organisation: OrganisationId?)
+/** Route, organisation and rank of an admitted request; [organisation] is null if the route needs no key. */
+data class AdmittedTarget(
+    val route: ForwardRoute,
+    val organisation: OrganisationId?,
+    val rank: RequestRank = RequestRank(route.priority ?: RequestRank.UNSTATED, route.priority ?: RequestRank.UNSTATED),
+)
 
 /**
  * Configuration of an instance and how recent it is.
@@ -38,7 +42,7 @@
         if (!isFresh) return Err(stale())
         val organisation = target.key?.let(table::organisationOf)
             ?: return Err(Failure(ErrorKind.UNAUTHENTICATED, "no valid key in the Authorization header"))
-        return Ok(AdmittedTarget(route, organisation))
+        return Ok(AdmittedTarget(route, organisation, table.rankOf(route, organisation)))
     }
 
     private fun stale() = unconfirmed("the configuration has not been confirmed for too long")
--- a/core/src/main/kotlin/org/godwitwick/core/forward/RequestRank.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/RequestRank.kt
@@ -20,9 +20,18 @@
  *
  * Exists only if the operator states at least two different priorities; otherwise all requests of the service count alike.
  */
-class ServiceRanks private constructor(private val ranks: List<RequestRank>) {
+class ServiceRanks private constructor(private val ranks: List<RequestRank>, private val pausesMs: DoubleArray) {
     /** Number of levels; level 0 is the most urgent one. */
-    val levels: Int get() = minOf(ranks.size, MAX_LEVELS)
+    val levels: Int get() = pausesMs.size
+
+    /** Level of the streams with the smallest target pause; the most urgent one if several have it. */
+    val shortestPauseLevel: Int = pausesMs.indices.minBy { pausesMs[it] }
+
+    /** Smallest target pause of the routes whose requests can have [level], in milliseconds; infinite if none states a target. */
+    fun pauseMsOf(level: Int): Double = pausesMs[level]
+
+    /** Smallest target pause of the routes whose requests can have [level] or outrank it, in milliseconds. */
+    fun smallestPauseMs(level: Int): Double = (0..level).minOf { pausesMs[it] }
 
     /** Level of [rank]. A rank that is not in the configuration has the level of the next less urgent one. */
     fun levelOf(rank: RequestRank): Int {
@@ -55,7 +64,21 @@
                 }
                 priorities.map { RequestRank(it, routePriority) }
             }
-            return ServiceRanks(ranks.distinct().sorted())
+            val sorted = ranks.distinct().sorted()
+            return ServiceRanks(sorted, pausesMsOf(sorted, routes))
+        }
+
+        private fun pausesMsOf(ranks: List<RequestRank>, routes: List<ForwardRoute>): DoubleArray {
+            val pausesMs = DoubleArray(minOf(ranks.size, MAX_LEVELS)) { Double.POSITIVE_INFINITY }
+            ranks.forEachIndexed { index, rank ->
+                val level = index.coerceAtMost(MAX_LEVELS - 1)
+                routes.filter { (it.priority ?: RequestRank.UNSTATED) == rank.routePriority && it.gapTargetMs > 0 }
+                    .forEach { pausesMs[level] = minOf(pausesMs[level], it.gapTargetMs.toDouble()) }
+            }
+            return pausesMs
         }
     }
 }
+
+/** Place of a request among the [ranks] of its service; requests with a lower [level] outrank it. */
+data class StatedRank(val level: Int, val ranks: ServiceRanks)
--- a/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamWork.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamWork.kt
@@ -8,6 +8,8 @@
  * @property shortStreams those of [running] that stream the answer to a short prompt; their pauses must stay short.
  * @property helping prefills in which the upstream helps other engines.
  * @property heldTokens KV cache used by the requests, in tokens.
+ * @property levels those of [running] whose level is known, by level. Streams of services without stated ranks, and those of instances
+ *   that report no levels, are not among them.
  */
 data class UpstreamWork(
     val pendingPrefillMs: Double = 0.0,
@@ -15,6 +17,7 @@
     val shortStreams: Int = 0,
     val helping: Int = 0,
     val heldTokens: Long = 0,
+    val levels: StreamLevels = StreamLevels.NONE,
 ) {
     /** Sum of this work and [other]. */
     operator fun plus(other: UpstreamWork) = UpstreamWork(
@@ -23,6 +26,7 @@
         shortStreams + other.shortStreams,
         helping + other.helping,
         heldTokens + other.heldTokens,
+        levels + other.levels,
     )
 
     /** This work without [part]; no value becomes negative, even if work of [part] has already ended. */
@@ -32,5 +36,6 @@
         (shortStreams - part.shortStreams).coerceAtLeast(0),
         (helping - part.helping).coerceAtLeast(0),
         (heldTokens - part.heldTokens).coerceAtLeast(0),
+        levels - part.levels,
     )
 }
--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardExperimentCommand.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardExperimentCommand.kt
@@ -57,9 +57,13 @@
         val ofKind = requests.filter { it.kind == kind }
         val first = ofKind.map { it.firstEventMs }.filterNot { it.isNaN() }.sorted()
         val gaps = ofKind.map { it.longestPauseMs }.sorted()
+        val onTime = percent(ofKind.count { it.isOnTime }.toDouble() / ofKind.size)
         "${kind.name} ${credit(
             ofKind,
-        )}, first ${quantile(first, 0.5)}/${quantile(first, 0.99)} ms, pause ${quantile(gaps, 0.5)}/${quantile(gaps, 0.99)} ms"
+        )}, on time $onTime, first ${quantile(
+            first,
+            0.5,
+        )}/${quantile(first, 0.99)} ms, pause ${quantile(gaps, 0.5)}/${quantile(gaps, 0.99)} ms"
     }
 
     private fun quantile(sorted: List<Double>, share: Double) = sorted.getOrNull((sorted.size * share).toInt())?.roundToInt()
@@ -77,6 +81,6 @@
             PlacementVariant.NO_WAIT,
             PlacementVariant.MORE_SHARED,
             PlacementVariant.PREVIOUS,
-        )
+        ) + PlacementVariant.RANK_STEPS
     }
 }
--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
@@ -2,6 +2,7 @@
 
 import org.godwitwick.core.forward.CallerWait
 import org.godwitwick.core.forward.ForwardRoute
+import org.godwitwick.core.forward.ForwardService
 import org.godwitwick.core.forward.PauseTargets
 import org.godwitwick.core.forward.PlacementRule
 import org.godwitwick.core.forward.PlacementSettings
@@ -9,12 +10,18 @@
 import org.godwitwick.core.forward.PrefillSplitSettings
 import org.godwitwick.core.forward.PrefillStartRule
 import org.godwitwick.core.forward.PrefillStartSettings
+import org.godwitwick.core.forward.RankedPlacementRule
+import org.godwitwick.core.forward.RankedPlacementSettings
 import org.godwitwick.core.forward.RequestSize
 import org.godwitwick.core.forward.RouteKind
+import org.godwitwick.core.forward.RoutingConfig
+import org.godwitwick.core.forward.RoutingTable
 import org.godwitwick.core.forward.SilenceTimer
+import org.godwitwick.core.forward.StatedRank
 import org.godwitwick.core.forward.StreamTimeoutRule
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.forward.WeightedService
+import org.godwitwick.core.forward.urgencyOf
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.forward.ForwardDemand
 import org.godwitwick.node.forward.LoadExchange
@@ -28,11 +35,16 @@
 import java.util.PriorityQueue
 import kotlin.random.Random
 
+/** Decisions that use the stated rank of a request, to compare what each is worth. */
+enum class RankUse { URGENCY, LONG_PROMPTS, SHORT_PROMPTS }
+
 /**
  * Named settings of the placement rules, to compare in one experiment.
  *
  * @property start settings of the waits of long prompts.
  * @property toleratesPrefill whether the silence of an engine that prefills is no failure.
+ * @property ranked settings of the placement by rank.
+ * @property ranks the decisions that use the stated ranks.
  */
 data class PlacementVariant(
     val name: String,
@@ -40,11 +52,20 @@
     val split: PrefillSplitSettings = PrefillSplitSettings(),
     val start: PrefillStartSettings = PrefillStartSettings(),
     val toleratesPrefill: Boolean = true,
+    val ranked: RankedPlacementSettings = RankedPlacementSettings(),
+    val ranks: Set<RankUse> = RankUse.entries.toSet(),
 ) {
     companion object {
         /** The settings that the product uses. */
         val CURRENT = PlacementVariant("current")
 
+        /** With the decisions that use stated ranks added one after the other. */
+        val RANK_STEPS = listOf(
+            PlacementVariant("unranked", ranks = emptySet()),
+            PlacementVariant("rank-urgency", ranks = setOf(RankUse.URGENCY)),
+            PlacementVariant("rank-long", ranks = setOf(RankUse.URGENCY, RankUse.LONG_PROMPTS)),
+        )
+
         /** Without the tolerance for the silence of engines that prefill. */
         val SILENCE_IS_LOSS = PlacementVariant("silence-is-loss", toleratesPrefill = false)
 
@@ -92,6 +113,7 @@
             random,
             { instances.size },
             PrefillStartRule(variant.start),
+            RankedPlacementRule(random, variant.ranked),
         )
         val exchange = LoadExchange(registered, loads, peerLoads) { to, message -> deliver(registered.id, to, message) }
     }
@@ -132,6 +154,16 @@
     private val inProgress = HashMap<ModelRequest, Sent>()
     private val streamTimeouts = StreamTimeoutRule(STALL_MS)
     private val routes = mix.kinds.associateWith(::routeOf)
+    private val table = RoutingTable(
+        RoutingConfig(
+            1,
+            routes.values.toList(),
+            listOf(ForwardService(SERVICE, mix.speed.profile)),
+            organisations = null,
+            limits = null,
+        ),
+    )
+    private val ranks = table.ranksOf(SERVICE)
     private val pauses = PauseTargets.of(routes.values.toList(), SERVICE)
     private val profile = mix.speed.profile.copy(passMs = mix.speed.stepMs * mix.speed.stepsPerPass)
     private val instances = ArrayList<Instance>().apply { repeat(mix.instances) { add(Instance(it, variant, seed)) } }
@@ -178,7 +210,8 @@
         val sinceMs = (if (request.lastEventMs.isNaN()) request.arrivedMs else request.lastEventMs).toLong()
         val targetMs = if (request.lastEventMs.isNaN()) request.kind.targetMs else request.kind.pauseTargetMs
         val wait = CallerWait(sinceMs, targetMs, sinceMs + request.patienceMs.toLong())
-        val demand = ForwardDemand(size, wait, isStreaming = true, pauses)
+        val rank = rankOf(request, if (size.isShort) RankUse.SHORT_PROMPTS else RankUse.LONG_PROMPTS)
+        val demand = ForwardDemand(size, wait, isStreaming = true, pauses, rank)
         val decision = instance.placer.place(demand, profile, engines.keys.toList(), nowMs.toLong())
         when (decision) {
             is PlacementDecision.Send -> begin(request, size, decision.work, instance)
@@ -190,11 +223,17 @@
         }
     }
 
+    private fun rankOf(request: ModelRequest, use: RankUse): StatedRank? {
+        if (use !in variant.ranks) return null
+        return ranks?.let { StatedRank(it.levelOf(table.rankOf(routes.getValue(request.kind), null)), it) }
+    }
+
     private fun begin(request: ModelRequest, size: RequestSize, work: PlacedWork, instance: Instance) {
         request.attempts++
         val decodingEngine = engines.getValue(work.placement.upstream)
         val helpers = work.placement.helpers.map { engines.getValue(it.upstream) }
-        val attempt = ModelAttempt(request, decodingEngine, helpers + decodingEngine)
+        val attempt =
+            ModelAttempt(request, decodingEngine, helpers + decodingEngine, urgencyOf(size, rankOf(request, RankUse.URGENCY)))
         val entries = work.placement.helpers.map { it.upstream } + work.placement.upstream
         val sent = Sent(instance, attempt, entries, instance.loads.begin(work, nowMs.toLong()), nowMs)
         sent.restartTimer(nowMs, streamTimeouts.firstEventTimeoutMs(routes.getValue(request.kind), request.attempts - 1))
@@ -248,6 +287,7 @@
         split = listOf(WeightedService(SERVICE, 1.0)),
         maxRuns = 2,
         isPublic = true,
+        priority = kind.priority,
     )
 
     /** Prompt tokens that the engines prefilled, as a multiple of those that arrived. */
--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardMix.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardMix.kt
@@ -17,6 +17,7 @@
  * @property pauseTargetMs target for the longest time between two events.
  * @property onTimeCredit credit for an answer that meets both targets.
  * @property lateCredit credit for a complete answer that misses a target.
+ * @property priority stated priority of the route, or null if none is stated.
  */
 data class MixKind(
     val name: String,
@@ -29,6 +30,7 @@
     val pauseTargetMs: Long,
     val onTimeCredit: Double,
     val lateCredit: Double,
+    val priority: Int? = null,
 )
 
 /** A period in which the arrival rates of [ForwardMix.kinds] are multiplied by [factors], in the same order. */
@@ -87,11 +89,14 @@
             "pindan" -> pindan()
             "pindan-busy" -> pindan(loadFactor = 1.27)
             "pindan-grown-small" -> pindanGrownSmall()
+            "rbq-small" -> rbqSmall()
+            "darivo-small" -> darivoSmall()
             else -> null
         }
 
         /** Names of the mixes. */
-        val NAMES = listOf("large", "large-small", "kasher", "pindan", "pindan-busy", "pindan-grown-small")
+        val NAMES =
+            listOf("large", "large-small", "kasher", "pindan", "pindan-busy", "pindan-grown-small", "rbq-small", "darivo-small")
 
         private const val LARGE_ENGINES = 195
         private const val SMALL_ENGINES = 35
@@ -188,5 +193,47 @@
                 SECONDS,
             )
         }
+
+        /** The two patterns of the bursts of both deployments in docs/competing-load.md, in turn. */
+        private val COMPETING_PHASES = listOf(
+            MixPhase(1.9, 11.4, listOf(2.4, 0.5, 0.05)),
+            MixPhase(12.0, 21.5, listOf(0.35, 1.3, 2.9)),
+            MixPhase(23.0, 32.5, listOf(2.4, 0.5, 0.05)),
+            MixPhase(33.0, 42.5, listOf(0.35, 1.3, 2.9)),
+        )
+        private const val COMPETING_SECONDS = 44.0
+
+        /** Fraction of the rates of the large deployments that the small ones have. */
+        private const val SMALL_SHARE = 1 / 4.8
+
+        /** The small deployment of rbq, whose kinds have three ranks. */
+        private fun rbqSmall(): ForwardMix {
+            val speed = kasherSpeed(slots = 8, stepsPerPass = 48)
+            return ForwardMix(
+                engines = 18,
+                instances = 18,
+                speed.copy(profile = speed.profile.copy(kvCapacityTokens = 197_200)),
+                listOf(
+                    MixKind("short", 68.2 * SMALL_SHARE, 4_960.0, 0.9, 23_800.0, 31.0, 259, 250, 1.8, 0.18, priority = 0),
+                    MixKind("reviews", 8.05 * SMALL_SHARE, 45_000.0, 0.5, 110_000.0, 18.0, 1_514, 600, 2.4, 0.61, priority = 1),
+                    MixKind("digests", 2.86 * SMALL_SHARE, 190_000.0, 0.55, 600_000.0, 15.0, 6_024, 1_000, 7.3, 2.8, 2),
+                ),
+                COMPETING_PHASES,
+                COMPETING_SECONDS,
+            )
+        }
+
+        /** The small deployment of darivo, whose kinds have the same rank. */
+        private fun darivoSmall(): ForwardMix = pindanGrownSmall().copy(
+            engines = 15,
+            instances = 19,
+            kinds = listOf(
+                MixKind("short", 47.2 * SMALL_SHARE, 4_960.0, 0.9, 23_800.0, 33.0, 309, 200, 1.4, 0.34, priority = 1),
+                MixKind("briefs", 4.33 * SMALL_SHARE, 45_000.0, 0.5, 110_000.0, 20.0, 1_514, 500, 2.6, 0.66, priority = 1),
+                MixKind("audits", 1.28 * SMALL_SHARE, 300_000.0, 0.55, 1_000_000.0, 16.0, 4_024, 800, 30.0, 7.5, priority = 1),
+            ),
+            phases = COMPETING_PHASES,
+            seconds = COMPETING_SECONDS,
+        )
     }
 }
--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/PassEngine.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/PassEngine.kt
@@ -1,8 +1,6 @@
 package org.godwitwick.lab.forward
 
 import org.godwitwick.core.forward.EngineProfile
-import org.godwitwick.core.forward.RequestSize
-import org.godwitwick.core.forward.urgencyOf
 
 /**
  * Speed of an engine as the platform publishes it. Times are in milliseconds.
@@ -60,6 +58,10 @@
         remainingEvents--
     }
 
+    /** Whether the answer ended and met both targets. */
+    val isOnTime: Boolean
+        get() = remainingEvents <= 0 && firstEventMs <= kind.targetMs && longestPauseMs <= kind.pauseTargetMs
+
     /** Weight of the request among those of its kind; longer prompts have a higher weight. */
     val weight: Double get() = minOf(BASE_WEIGHT + (1 - BASE_WEIGHT) * promptTokens / kind.promptTokens, MAX_WEIGHT)
 
@@ -67,7 +69,7 @@
     val earnedCredit: Double
         get() = when {
             remainingEvents > 0 -> 0.0
-            firstEventMs <= kind.targetMs && longestPauseMs <= kind.pauseTargetMs -> kind.onTimeCredit * weight
+            isOnTime -> kind.onTimeCredit * weight
             else -> kind.lateCredit * weight
         }
 
@@ -81,7 +83,12 @@
 }
 
 /** One send of [request] to engines: one of them decodes, and all of them prefill one part each. */
-internal class ModelAttempt(val request: ModelRequest, val decodingEngine: PassEngine, val engines: List<PassEngine>) {
+internal class ModelAttempt(
+    val request: ModelRequest,
+    val decodingEngine: PassEngine,
+    val engines: List<PassEngine>,
+    val urgency: Int,
+) {
     var remainingParts = engines.size
     var isCancelled = false
 
@@ -129,7 +136,7 @@
         val promptTokens = attempt.request.promptTokens
         if (!isHelper) {
             queued += attempt
-            queued.sortBy { urgencyOf(RequestSize(it.request.promptTokens, 0)) }
+            queued.sortBy { it.urgency }
         }
         parts += Part(
             attempt,
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
@@ -1,9 +1,10 @@
 package org.godwitwick.node.forward
 
+import org.godwitwick.core.forward.AdmittedTarget
 import org.godwitwick.core.forward.CallerWait
-import org.godwitwick.core.forward.ForwardRoute
 import org.godwitwick.core.forward.ForwardService
 import org.godwitwick.core.forward.RouteKind
+import org.godwitwick.core.forward.StatedRank
 import org.godwitwick.core.forward.UpstreamEntry
 
 /** Chooses the upstream for each send of one request, preferring those not tried before. Used by one thread. */
@@ -29,15 +30,21 @@
         context.statements.present(context.fleetView.upstreams[serviceName].orEmpty())
 
     /** Places the request at the service called [serviceName], for a caller that has waited as [wait] says. */
-    fun place(service: ForwardService?, serviceName: String, route: ForwardRoute, wait: CallerWait): PlacementDecision {
+    fun place(service: ForwardService?, serviceName: String, admitted: AdmittedTarget, wait: CallerWait): PlacementDecision {
         val known = presentAt(serviceName).filter { it.address !in avoided }
         val open = openOf(known)
         if (open.isEmpty() && known.isNotEmpty()) return PlacementDecision.Limited(context.statements.earliestMs(known))
-        val pauses = context.fleetView.routing.table?.pauseTargetsOf(serviceName)
-        val demand = ForwardDemand(request.size, wait, route.kind is RouteKind.Streaming, pauses)
+        val table = context.fleetView.routing.table
+        val isStreaming = admitted.route.kind is RouteKind.Streaming
+        val rank = rankAt(serviceName, admitted)
+        val demand = ForwardDemand(request.size, wait, isStreaming, table?.pauseTargetsOf(serviceName), rank)
         return placeOn(open.filterNot(::wasTried).ifEmpty { open }, demand, service)
     }
 
+    /** Rank of the request, [admitted] as given, at the service called [serviceName]; null if the service is not contended by rank. */
+    fun rankAt(serviceName: String, admitted: AdmittedTarget): StatedRank? =
+        context.fleetView.routing.table?.ranksOf(serviceName)?.let { StatedRank(it.levelOf(admitted.rank), it) }
+
     // The helpers of a long prompt take load as well, so it is placed on upstreams without a limit where there are some.
     private fun openOf(known: List<UpstreamEntry>): List<UpstreamEntry> {
         val open = context.statements.open(known)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamAttempt.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamAttempt.kt
@@ -22,7 +22,7 @@
     /** Makes one attempt at the service called [serviceName]; returns null if the request is to be placed again. */
     fun run(admitted: AdmittedTarget, serviceName: String, lastEventId: Long?): RunOutcome? {
         val spec = context.fleetView.routing.table?.serviceOf(serviceName)
-        return when (val decision = placer.place(spec, serviceName, admitted.route, callerWait(admitted.route))) {
+        return when (val decision = placer.place(spec, serviceName, admitted, callerWait(admitted.route))) {
             is PlacementDecision.Send -> {
                 state.turn.end(state.elapsedMs())
                 sendPlaced(decision.work, admitted, lastEventId)
@@ -63,7 +63,7 @@
             placement.upstream,
             admitted.organisation,
             state.remainingMs(),
-            urgencyOf(request.size),
+            urgencyOf(request.size, placer.rankAt(state.service.orEmpty(), admitted)),
             reservedHelpers.helpers,
             lastEventId,
         )
--- a/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamLoads.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamLoads.kt
@@ -1,6 +1,8 @@
 package org.godwitwick.node.forward
 
 import org.godwitwick.core.forward.Placement
+import org.godwitwick.core.forward.ServiceRanks
+import org.godwitwick.core.forward.StreamLevels
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.forward.UpstreamWork
 import org.godwitwick.core.model.InstanceId
@@ -12,6 +14,7 @@
  * @property heldTokens KV cache that the request occupies at the first engine, in tokens.
  * @property queuedPrefillMs prefill queued before it at the participating engines, in milliseconds; zero for an engine that is
  *   not listed.
+ * @property level level of the stream among the stated ranks, or null if none are stated.
  */
 data class PlacedWork(
     val placement: Placement,
@@ -19,6 +22,7 @@
     val heldTokens: Long,
     val isShortStream: Boolean,
     val queuedPrefillMs: Map<InstanceId, Double> = emptyMap(),
+    val level: Int? = null,
 )
 
 /**
@@ -41,6 +45,7 @@
         var shortStreams = 0
         var helping = 0
         var heldTokens = 0L
+        val levels = IntArray(ServiceRanks.MAX_LEVELS)
         var penaltyMs = 0.0
         var penaltyAtMs = 0L
 
@@ -50,6 +55,7 @@
             shortStreams,
             helping,
             heldTokens,
+            StreamLevels.of { levels[it] },
         )
 
         fun penaltyAt(nowMs: Long): Double = penaltyMs * Math.pow(0.5, (nowMs - penaltyAtMs).toDouble() / PENALTY_HALF_LIFE_MS)
@@ -76,6 +82,7 @@
         val first = addShare(work.placement.upstream, work, nowMs, work.heldTokens)
         first.load.running++
         if (work.isShortStream) first.load.shortStreams++
+        work.level?.let { first.load.levels[it]++ }
         val helpers = work.placement.helpers.map { addShare(it.upstream, work, nowMs, it.reservedTokens) }
         helpers.forEach { it.load.helping++ }
         return CountedWork(work, first, helpers)
@@ -146,6 +153,7 @@
             onPrefillDone()
             first.load.running--
             if (work.isShortStream) first.load.shortStreams--
+            work.level?.let { first.load.levels[it]-- }
             (helpers + first).forEach { it.load.heldTokens -= it.heldTokens }
         }
     }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
@@ -9,7 +9,11 @@
 import org.godwitwick.core.forward.PrefillForecast
 import org.godwitwick.core.forward.PrefillStart
 import org.godwitwick.core.forward.PrefillStartRule
+import org.godwitwick.core.forward.RankedDecision
+import org.godwitwick.core.forward.RankedDemand
+import org.godwitwick.core.forward.RankedPlacementRule
 import org.godwitwick.core.forward.RequestSize
+import org.godwitwick.core.forward.StatedRank
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.forward.UpstreamView
 import kotlin.random.Random
@@ -20,8 +24,15 @@
  * @property size size in tokens, or null for requests to plain services.
  * @property wait the caller's wait for the answer, or for the next event of a stream.
  * @property pauses the longest allowed pauses of the service's streams, or null if it has none.
+ * @property rank rank of the request, or null if the service is not contended by rank.
  */
-data class ForwardDemand(val size: RequestSize?, val wait: CallerWait, val isStreaming: Boolean, val pauses: PauseTargets?)
+data class ForwardDemand(
+    val size: RequestSize?,
+    val wait: CallerWait,
+    val isStreaming: Boolean,
+    val pauses: PauseTargets?,
+    val rank: StatedRank? = null,
+)
 
 /** Decision on a [ForwardDemand]. */
 sealed interface PlacementDecision {
@@ -53,19 +64,26 @@
     private val random: Random,
     private val instanceCount: () -> Int?,
     private val startRule: PrefillStartRule = PrefillStartRule(),
+    private val rankedRule: RankedPlacementRule = RankedPlacementRule(random),
 ) {
     /** Places [demand] on some of [candidates]. [engine] is null for plain services. */
     fun place(demand: ForwardDemand, engine: EngineProfile?, candidates: List<UpstreamEntry>, nowMs: Long): PlacementDecision {
         val others = peerLoads.at(nowMs)
         val views = candidates.shuffled(random).map { viewOf(it, others, nowMs) }
+        if (demand.rank != null && demand.size != null && engine != null) {
+            return placeRanked(
+                demand,
+                RankedDemand(demand.size, demand.wait, demand.rank),
+                engine,
+                views,
+                knownShare(others),
+                nowMs,
+            )
+        }
         val placement = placementOf(demand, engine, views, knownShare(others)) ?: return PlacementDecision.NoUpstream
-        val isShortStream = demand.isStreaming && demand.size?.isShort != false
-        val engineIds = placement.helpers.mapTo(hashSetOf(placement.upstream.id)) { it.upstream.id }
-        val queuedPrefillMs = views.filter { it.entry.id in engineIds }.associate { it.entry.id to it.work.pendingPrefillMs }
-        val prefillMs = prefillMsOf(demand, engine, placement)
-        val work = PlacedWork(placement, prefillMs, heldTokensOf(demand, placement), isShortStream, queuedPrefillMs)
+        val work = workOf(demand, engine, placement, views, demand.size?.isShort != false)
         if (demand.size?.isShort != false) return PlacementDecision.Send(work)
-        val forecast = PrefillForecast(prefillMs, queuedPrefillMs.values.maxOrNull() ?: 0.0)
+        val forecast = PrefillForecast(work.prefillMs, work.queuedPrefillMs.values.maxOrNull() ?: 0.0)
         return when (val start = startRule.decide(demand.wait, forecast, nowMs)) {
             is PrefillStart.Begin -> PlacementDecision.Send(work)
             is PrefillStart.Wait -> PlacementDecision.Wait(forecast)
@@ -73,6 +91,45 @@
         }
     }
 
+    private fun placeRanked(
+        demand: ForwardDemand,
+        ranked: RankedDemand,
+        engine: EngineProfile,
+        views: List<UpstreamView>,
+        knownShare: Double,
+        nowMs: Long,
+    ): PlacementDecision = when (val decision = rankedRule.place(ranked, engine, views, knownShare, nowMs)) {
+        is RankedDecision.Send -> PlacementDecision.Send(
+            workOf(demand, engine, decision.placement, views, ranked.isShort(engine)),
+        )
+
+        is RankedDecision.Wait -> PlacementDecision.Wait(decision.forecast)
+
+        is RankedDecision.Reject -> PlacementDecision.Reject(decision.retryAfterMs)
+
+        is RankedDecision.NoUpstream -> PlacementDecision.NoUpstream
+    }
+
+    private fun workOf(
+        demand: ForwardDemand,
+        engine: EngineProfile?,
+        placement: Placement,
+        views: List<UpstreamView>,
+        isShort: Boolean,
+    ): PlacedWork {
+        val engineIds = placement.helpers.mapTo(hashSetOf(placement.upstream.id)) { it.upstream.id }
+        val queuedPrefillMs = views.filter { it.entry.id in engineIds }.associate { it.entry.id to it.work.pendingPrefillMs }
+        val prefillMs = prefillMsOf(demand, engine, placement)
+        return PlacedWork(
+            placement,
+            prefillMs,
+            heldTokensOf(demand, placement),
+            isShortStream = demand.isStreaming && isShort,
+            queuedPrefillMs,
+            level = demand.rank?.level.takeIf { demand.isStreaming },
+        )
+    }
+
     /** Whether one of [engines] is known to have unfinished prefills at [nowMs]. */
     fun isPrefilling(engines: List<UpstreamEntry>, nowMs: Long): Boolean {
         if (engines.any { loads.workAt(it, nowMs).pendingPrefillMs > 0 }) return true
--- a/node/src/main/kotlin/org/godwitwick/node/peer/ForwardLoad.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/ForwardLoad.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
+import org.godwitwick.core.forward.StreamLevels
 import org.godwitwick.core.forward.UpstreamWork
 import org.godwitwick.core.model.InstanceId
 
@@ -31,6 +32,8 @@
  * @property instances number of instances whose work is included.
  * @property scope the set of instances whose work is included.
  * @property dataCentre the data centre whose work is included, or empty.
+ * @property levels streams by level at each upstream, see [StreamLevels.packed]; empty if none of the streams has a stated rank, and in
+ *   messages of versions that know no ranks.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -46,6 +49,7 @@
     @CborLabel(8) val instances: Int = 1,
     @CborLabel(9) val scope: LoadScope = LoadScope.INSTANCE,
     @CborLabel(10) val dataCentre: String = "",
+    @CborLabel(11) val levels: List<Long> = emptyList(),
 ) : PeerMessage {
     /**
      * Whether the sender created this message after [other], so that [other] was overtaken. A restart of the sender may set its
@@ -57,9 +61,16 @@
     fun byUpstream(): Map<Int, UpstreamWork> {
         val columns = listOf(pendingReadMs, running, shortStreams, helping, heldKiloTokens)
         if (columns.any { it.size != upstreams.size }) return emptyMap()
+        val hasLevels = levels.size == upstreams.size
         return upstreams.indices.associate { i ->
-            upstreams[i] to
-                UpstreamWork(pendingReadMs[i].toDouble(), running[i], shortStreams[i], helping[i], heldKiloTokens[i] * KILO)
+            upstreams[i] to UpstreamWork(
+                pendingReadMs[i].toDouble(),
+                running[i],
+                shortStreams[i],
+                helping[i],
+                heldKiloTokens[i] * KILO,
+                if (hasLevels) StreamLevels(levels[i]) else StreamLevels.NONE,
+            )
         }
     }
 
@@ -95,6 +106,7 @@
                 instances,
                 scope,
                 dataCentre,
+                rows.map { it.value.levels.packed }.takeIf { levels -> levels.any { it != 0L } }.orEmpty(),
             )
         }
     }
