--- a/core/src/main/kotlin/org/godwitwick/core/forward/RankedPlacementRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/RankedPlacementRule.kt
@@ -117,14 +117,21 @@
                     it.work.helping < profile.slots - FREE_HELP_SLOTS
             }
         val usable = free.shuffled(random).take(maxOf(settings.maxEngines * 2, free.size / 2))
+        val isLowest = demand.rank.level == demand.rank.ranks.levels - 1
+        val position = layout.order.withIndex().associate { (i, v) -> v to settings.positionMs * (if (isLowest) layout.order.size - i else i) / layout.order.size }
         val remainingMs = demand.remainingMs(nowMs) * settings.targetShare - profile.passMs
         val maxCount = minOf(settings.maxEngines, usable.size)
-        val choices = (minCount..maxCount).asSequence().map { choose(it, totalMs / it, demand, profile, usable, isSplit) }
+        val ownLimitMs = (demand.rank.ranks.pauseMsOf(demand.rank.level) - profile.passMs) * settings.partShare
+        val wanted = maxOf(minCount, ceil(totalMs / ownLimitMs).toInt()).coerceAtMost(maxOf(minCount, maxCount))
+        val choices = ((wanted..maxCount) + (minCount until wanted).reversed()).asSequence().map { choose(it, totalMs / it, demand, profile, usable, isSplit, position) }
         val inTime = choices.filterNotNull().filter { it.partMs + settings.backlogWeight * it.backlogMs <= remainingMs }
-        val choice = inTime.firstOrNull { it.stalled == 0 } ?: inTime.minByOrNull { it.stalled }
-        if (choice != null) return RankedDecision.Send(placementOf(choice, demand, isSplit))
+        val harmless = inTime.firstOrNull { it.stalled == 0 }
+        if (harmless != null) return RankedDecision.Send(placementOf(harmless, demand, isSplit))
         val shortestMs = totalMs / settings.maxEngines
         val forecast = PrefillForecast(shortestMs, usable.minOfOrNull { waitMs(it) } ?: 0.0)
+        val mayWait = shortestMs + settings.reserveMs <= remainingMs
+        val choice = if (mayWait) null else inTime.minByOrNull { it.stalled }
+        if (choice != null) return RankedDecision.Send(placementOf(choice, demand, isSplit))
         if (shortestMs <= remainingMs) return RankedDecision.Wait(forecast)
         return placeLate(demand, isSplit, choices.filterNotNull(), forecast, nowMs)
     }
@@ -156,12 +163,12 @@
         profile: EngineProfile,
         usable: List<UpstreamView>,
         isSplit: Boolean,
+        position: Map<UpstreamView, Double>,
     ): Choice? {
         val heldTokens = if (isSplit) demand.size.kvTokens / count + 1 else 0
         val fitting = usable.filter { it.work.heldTokens + heldTokens <= profile.kvCapacityTokens }
         if (fitting.size < count) return null
-        val engines = fitting.sortedBy {
-            waitMs(it) + settings.stalledStreamMs * stalled(it, demand.rank, partMs, profile)
+        val engines = fitting.sortedBy { waitMs(it) + position.getValue(it) + settings.stalledStreamMs * stalled(it, demand.rank, partMs, profile)
         }.take(count)
         return Choice(engines, partMs, engines.maxOf(::waitMs), engines.sumOf { stalled(it, demand.rank, partMs, profile) })
     }
@@ -254,20 +261,23 @@
  * @property maxReserveShare upper bound of the fraction of the engines that is left to lower ranks.
  */
 data class RankedPlacementSettings(
-    val maxEngines: Int = 17,
-    val streamShare: Double = 0.6,
-    val spareEngines: Int = 2,
-    val sampleSize: Int = 4,
-    val maxCompared: Int = 48,
-    val queuedRequestMs: Double = 200.0,
-    val runningRequestMs: Double = 10.0,
-    val targetShare: Double = 0.85,
-    val backlogWeight: Double = 1.0,
-    val stalledStreamMs: Double = 2_000.0,
-    val idleBacklogMs: Double = 100.0,
-    val answerMs: Double = 1_000.0,
-    val lastCallMs: Double = 1_500.0,
-    val singleMemoryShare: Double = 0.8,
-    val partMemoryShare: Double = 0.6,
-    val maxReserveShare: Double = 0.25,
+    val maxEngines: Int = System.getProperty("maxEngines")?.toInt() ?: 17,
+    val streamShare: Double = System.getProperty("streamShare")?.toDouble() ?: 0.6,
+    val spareEngines: Int = System.getProperty("spareEngines")?.toInt() ?: 2,
+    val sampleSize: Int = System.getProperty("sampleSize")?.toInt() ?: 4,
+    val maxCompared: Int = System.getProperty("maxCompared")?.toInt() ?: 48,
+    val queuedRequestMs: Double = System.getProperty("queuedRequestMs")?.toDouble() ?: 200.0,
+    val runningRequestMs: Double = System.getProperty("runningRequestMs")?.toDouble() ?: 10.0,
+    val targetShare: Double = System.getProperty("targetShare")?.toDouble() ?: 0.85,
+    val backlogWeight: Double = System.getProperty("backlogWeight")?.toDouble() ?: 1.0,
+    val stalledStreamMs: Double = System.getProperty("stalledStreamMs")?.toDouble() ?: 2_000.0,
+    val idleBacklogMs: Double = System.getProperty("idleBacklogMs")?.toDouble() ?: 100.0,
+    val answerMs: Double = System.getProperty("answerMs")?.toDouble() ?: 1_000.0,
+    val lastCallMs: Double = System.getProperty("lastCallMs")?.toDouble() ?: 1_500.0,
+    val singleMemoryShare: Double = System.getProperty("singleMemoryShare")?.toDouble() ?: 0.8,
+    val partMemoryShare: Double = System.getProperty("partMemoryShare")?.toDouble() ?: 0.6,
+    val positionMs: Double = System.getProperty("positionMs")?.toDouble() ?: 300.0,
+    val partShare: Double = System.getProperty("partShare")?.toDouble() ?: 0.5,
+    val reserveMs: Double = System.getProperty("reserveMs")?.toDouble() ?: 500.0,
+    val maxReserveShare: Double = System.getProperty("maxReserveShare")?.toDouble() ?: 0.25,
 )
--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
@@ -209,7 +209,8 @@
         val size = RequestSize(request.promptTokens, request.remainingEvents.toLong() * mix.speed.stepsPerPass)
         val sinceMs = (if (request.lastEventMs.isNaN()) request.arrivedMs else request.lastEventMs).toLong()
         val targetMs = if (request.lastEventMs.isNaN()) request.kind.targetMs else request.kind.pauseTargetMs
-        val wait = CallerWait(sinceMs, targetMs, sinceMs + request.patienceMs.toLong())
+        val leavesAtMs = minOf(sinceMs + request.patienceMs.toLong(), request.arrivedMs.toLong() + request.kind.deadlineMs)
+        val wait = CallerWait(sinceMs, targetMs, leavesAtMs)
         val rank = rankOf(request, if (size.isShort) RankUse.SHORT_PROMPTS else RankUse.LONG_PROMPTS)
         val demand = ForwardDemand(size, wait, isStreaming = true, pauses, rank)
         val decision = instance.placer.place(demand, profile, engines.keys.toList(), nowMs.toLong())
@@ -246,7 +247,7 @@
     private fun watch(request: ModelRequest) {
         if (request.isEnded) return
         val lastSignMs = if (request.lastEventMs.isNaN()) request.arrivedMs else request.lastEventMs
-        if (nowMs - lastSignMs >= request.patienceMs) {
+        if (nowMs - lastSignMs >= request.patienceMs || nowMs - request.arrivedMs >= request.kind.deadlineMs) {
             inProgress[request]?.attempt?.cancel()
             end(request)
             return
--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardMix.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardMix.kt
@@ -18,6 +18,7 @@
  * @property onTimeCredit credit for an answer that meets both targets.
  * @property lateCredit credit for a complete answer that misses a target.
  * @property priority stated priority of the route, or null if none is stated.
+ * @property deadlineMs time from the arrival after which the caller leaves in any case.
  */
 data class MixKind(
     val name: String,
@@ -31,6 +32,7 @@
     val onTimeCredit: Double,
     val lateCredit: Double,
     val priority: Int? = null,
+    val deadlineMs: Long = Long.MAX_VALUE / 2,
 )
 
 /** A period in which the arrival rates of [ForwardMix.kinds] are multiplied by [factors], in the same order. */
@@ -214,9 +216,9 @@
                 instances = 18,
                 speed.copy(profile = speed.profile.copy(kvCapacityTokens = 197_200)),
                 listOf(
-                    MixKind("short", 68.2 * SMALL_SHARE, 4_960.0, 0.9, 23_800.0, 31.0, 259, 250, 1.8, 0.18, priority = 0),
-                    MixKind("reviews", 8.05 * SMALL_SHARE, 45_000.0, 0.5, 110_000.0, 18.0, 1_514, 600, 2.4, 0.61, priority = 1),
-                    MixKind("digests", 2.86 * SMALL_SHARE, 190_000.0, 0.55, 600_000.0, 15.0, 6_024, 1_000, 7.3, 2.8, 2),
+                    MixKind("short", 68.2 * SMALL_SHARE, 4_960.0, 0.9, 23_800.0, 31.0, 259, 250, 1.8, 0.18, 0, 10_400),
+                    MixKind("reviews", 8.05 * SMALL_SHARE, 45_000.0, 0.5, 110_000.0, 18.0, 1_514, 600, 2.4, 0.61, 1, 10_100),
+                    MixKind("digests", 2.86 * SMALL_SHARE, 190_000.0, 0.55, 600_000.0, 15.0, 6_024, 1_000, 7.3, 2.8, 2, 15_100),
                 ),
                 COMPETING_PHASES,
                 COMPETING_SECONDS,
@@ -228,9 +230,9 @@
             engines = 15,
             instances = 19,
             kinds = listOf(
-                MixKind("short", 47.2 * SMALL_SHARE, 4_960.0, 0.9, 23_800.0, 33.0, 309, 200, 1.4, 0.34, priority = 1),
-                MixKind("briefs", 4.33 * SMALL_SHARE, 45_000.0, 0.5, 110_000.0, 20.0, 1_514, 500, 2.6, 0.66, priority = 1),
-                MixKind("audits", 1.28 * SMALL_SHARE, 300_000.0, 0.55, 1_000_000.0, 16.0, 4_024, 800, 30.0, 7.5, priority = 1),
+                MixKind("short", 47.2 * SMALL_SHARE, 4_960.0, 0.9, 23_800.0, 33.0, 309, 200, 1.4, 0.34, 1, 10_300),
+                MixKind("briefs", 4.33 * SMALL_SHARE, 45_000.0, 0.5, 110_000.0, 20.0, 1_514, 500, 2.6, 0.66, 1, 10_100),
+                MixKind("audits", 1.28 * SMALL_SHARE, 300_000.0, 0.55, 1_000_000.0, 16.0, 4_024, 800, 30.0, 7.5, 1, 15_100),
             ),
             phases = COMPETING_PHASES,
             seconds = COMPETING_SECONDS,
