--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardExperimentCommand.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardExperimentCommand.kt
@@ -60,7 +60,7 @@
         val onTime = percent(ofKind.count { it.isOnTime }.toDouble() / ofKind.size)
         "${kind.name} ${credit(
             ofKind,
-        )}, on time $onTime, TMPf ${percent(ofKind.count { it.firstEventMs.isNaN() }.toDouble()/ofKind.size)} ${percent(ofKind.count { it.firstEventMs > it.kind.targetMs }.toDouble()/ofKind.size)} ${percent(ofKind.count { it.longestPauseMs > it.kind.pauseTargetMs }.toDouble()/ofKind.size)}, first ${quantile(
+        )}, on time $onTime, first ${quantile(
             first,
             0.5,
         )}/${quantile(first, 0.99)} ms, pause ${quantile(gaps, 0.5)}/${quantile(gaps, 0.99)} ms"
--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardMix.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardMix.kt
@@ -91,14 +91,15 @@
             "pindan" -> pindan()
             "pindan-busy" -> pindan(loadFactor = 1.27)
             "pindan-grown-small" -> pindanGrownSmall()
-            "rbq-small" -> rbqSmall()
+            "rbq" -> rbq(1.0, engines = 78, instances = 72)
+            "rbq-small" -> rbq(SMALL_SHARE, engines = 18, instances = 18)
             "darivo-small" -> darivoSmall()
             else -> null
         }
 
         /** Names of the mixes. */
         val NAMES =
-            listOf("large", "large-small", "kasher", "pindan", "pindan-busy", "pindan-grown-small", "rbq-small", "darivo-small")
+            listOf("large", "large-small", "kasher", "pindan", "pindan-busy", "pindan-grown-small", "rbq", "rbq-small", "darivo-small")
 
         private const val LARGE_ENGINES = 195
         private const val SMALL_ENGINES = 35
@@ -208,17 +209,17 @@
         /** Fraction of the rates of the large deployments that the small ones have. */
         private const val SMALL_SHARE = 1 / 4.8
 
-        /** The small deployment of rbq, whose kinds have three ranks. */
-        private fun rbqSmall(): ForwardMix {
+        /** The deployment of rbq, whose kinds have three ranks, with [share] of its arrival rates. */
+        private fun rbq(share: Double, engines: Int, instances: Int): ForwardMix {
             val speed = kasherSpeed(slots = 8, stepsPerPass = 48)
             return ForwardMix(
-                engines = 18,
-                instances = 18,
+                engines,
+                instances,
                 speed.copy(profile = speed.profile.copy(kvCapacityTokens = 197_200)),
                 listOf(
-                    MixKind("short", 68.2 * SMALL_SHARE, 4_960.0, 0.9, 23_800.0, 31.0, 259, 250, 1.8, 0.18, 0, 10_400),
-                    MixKind("reviews", 8.05 * SMALL_SHARE, 45_000.0, 0.5, 110_000.0, 18.0, 1_514, 600, 2.4, 0.61, 1, 10_100),
-                    MixKind("digests", 2.86 * SMALL_SHARE, 190_000.0, 0.55, 600_000.0, 15.0, 6_024, 1_000, 7.3, 2.8, 2, 15_100),
+                    MixKind("short", 68.2 * share, 4_960.0, 0.9, 23_800.0, 31.0, 259, 250, 1.8, 0.18, 0, 10_400),
+                    MixKind("reviews", 8.05 * share, 45_000.0, 0.5, 110_000.0, 18.0, 1_514, 600, 2.4, 0.61, 1, 10_100),
+                    MixKind("digests", 2.86 * share, 190_000.0, 0.55, 600_000.0, 15.0, 6_024, 1_000, 7.3, 2.8, 2, 15_100),
                 ),
                 COMPETING_PHASES,
                 COMPETING_SECONDS,
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
@@ -48,6 +48,13 @@
         "Time that long prompts waited at this instance because the engines had prefill pending.",
     )
 
+    private val ranked = Counter.builder()
+        .name("godwitwick_forward_ranked_total")
+        .help("Decisions on requests to services with stated ranks, by level and decision: in-time, late or waited.")
+        .labelNames("service", "level", "decision")
+        .withoutExemplars()
+        .register(registry)
+
     init {
         gauge(
             registry,
@@ -79,6 +86,10 @@
         duration.labelValues(service).observe(durationMs / MS_PER_SECOND)
     }
 
+    /** Counts a [decision] on a request of [level] to [service]. */
+    fun recordRanked(service: String, level: Int, decision: String) =
+        ranked.labelValues(service, level.toString(), decision).inc()
+
     /** Counts a retry of a request at another upstream of [service]. */
     fun recordRetry(service: String) = retries.labelValues(service).inc()
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunState.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunState.kt
@@ -24,6 +24,7 @@
     val share: BodyShare,
 ) {
     val placer = RequestPlacer(context, request)
+    val ranks = RankObserver(context.metrics, request.id)
     val turn = PrefillTurn(context, request.id, guard)
     val crashes = CrashObserver(context.crashGuard, request, body)
     val relay = RequestRelay(context.relay, request)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamAttempt.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamAttempt.kt
@@ -22,7 +22,9 @@
     /** Makes one attempt at the service called [serviceName]; returns null if the request is to be placed again. */
     fun run(admitted: AdmittedTarget, serviceName: String, lastEventId: Long?): RunOutcome? {
         val spec = context.fleetView.routing.table?.serviceOf(serviceName)
-        return when (val decision = placer.place(spec, serviceName, admitted, callerWait(admitted.route))) {
+        val decision = placer.place(spec, serviceName, admitted, callerWait(admitted.route))
+        state.ranks.onDecision(serviceName, decision)
+        return when (decision) {
             is PlacementDecision.Send -> {
                 state.turn.end(state.elapsedMs())
                 sendPlaced(decision.work, admitted, lastEventId)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
@@ -11,6 +11,7 @@
 import org.godwitwick.core.forward.PrefillStartRule
 import org.godwitwick.core.forward.RankedDecision
 import org.godwitwick.core.forward.RankedDemand
+import org.godwitwick.core.forward.RankedInputs
 import org.godwitwick.core.forward.RankedPlacementRule
 import org.godwitwick.core.forward.RequestSize
 import org.godwitwick.core.forward.StatedRank
@@ -36,11 +37,11 @@
 
 /** Decision on a [ForwardDemand]. */
 sealed interface PlacementDecision {
-    /** The request is sent as [work] says. */
-    data class Send(val work: PlacedWork) : PlacementDecision
+    /** The request is sent as [work] says; [inputs] are those of a decision by rank. */
+    data class Send(val work: PlacedWork, val inputs: RankedInputs? = null) : PlacementDecision
 
     /** The engines have too much prefill pending for a prefill as in [forecast]; the request is placed again a little later. */
-    data class Wait(val forecast: PrefillForecast) : PlacementDecision
+    data class Wait(val forecast: PrefillForecast, val inputs: RankedInputs? = null) : PlacementDecision
 
     /** The request cannot be answered in time; the engines may take it after [retryAfterMs]. */
     data class Reject(val retryAfterMs: Long) : PlacementDecision
@@ -101,9 +102,10 @@
     ): PlacementDecision = when (val decision = rankedRule.place(ranked, engine, views, knownShare, nowMs)) {
         is RankedDecision.Send -> PlacementDecision.Send(
             workOf(demand, engine, decision.placement, views, ranked.isShort(engine)),
+            decision.inputs,
         )
 
-        is RankedDecision.Wait -> PlacementDecision.Wait(decision.forecast)
+        is RankedDecision.Wait -> PlacementDecision.Wait(decision.inputs.forecast, decision.inputs)
 
         is RankedDecision.Reject -> PlacementDecision.Reject(decision.retryAfterMs)
 
