--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardMix.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardMix.kt
@@ -98,8 +98,17 @@
         }
 
         /** Names of the mixes. */
-        val NAMES =
-            listOf("large", "large-small", "kasher", "pindan", "pindan-busy", "pindan-grown-small", "rbq", "rbq-small", "darivo-small")
+        val NAMES = listOf(
+            "large",
+            "large-small",
+            "kasher",
+            "pindan",
+            "pindan-busy",
+            "pindan-grown-small",
+            "rbq",
+            "rbq-small",
+            "darivo-small",
+        )
 
         private const val LARGE_ENGINES = 195
         private const val SMALL_ENGINES = 35
