Respect memory and the engines left to lower ranks in ranked placement

The engine that answers must have free KV cache for its part, no level takes engines that it leaves to those after it, and a short prompt that would be late on the shared engines takes the first engine that is in time instead of the best one, which would be the choice of all instances until the next report.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/LowerRankReserve.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/LowerRankReserve.kt
@@ -26,7 +26,7 @@
 
     /** The number of engines among [candidates] that requests of [rank] leave to those of lower ranks. */
     fun engines(rank: StatedRank, profile: EngineProfile, candidates: List<UpstreamView>, nowMs: Long): Int {
-        if (rank.level >= rank.ranks.levels - 1) return 0
+        if (rank.level < 0 || rank.level >= rank.ranks.levels - 1) return 0
         val lowerStreams = candidates.sumOf { it.work.levels.total - it.work.levels.before(rank.level + 1) }
         if (lowerStreams == 0 && (lowerSeenAtMs == Long.MIN_VALUE || nowMs - lowerSeenAtMs > DEMAND_MS)) return 0
         val forMemory = ceil(largestTokens.get() / (profile.kvCapacityTokens * settings.partMemoryShare)).toInt()
--- a/core/src/main/kotlin/org/godwitwick/core/forward/RankedPlacementRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/RankedPlacementRule.kt
@@ -36,11 +36,15 @@
         reserve.onDemand(demand, nowMs)
         val rank = demand.rank
         val order = candidates.sortedBy { it.entry.id.value.hashCode() }
-        val reservedCount = reserve.engines(rank, profile, candidates, nowMs)
-        // Engines at the start of the order that the streams of the levels before, and of those up to the level of the demand, need.
-        val limit = order.size - reservedCount
-        val outrankingEnd = minOf(enginesFor(order, rank.ranks, rank.level, knownShare, profile), limit)
-        val levelEnd = maxOf(outrankingEnd, minOf(enginesFor(order, rank.ranks, rank.level + 1, knownShare, profile), limit))
+
+        // No level takes more engines than it leaves to those after it.
+        fun engines(level: Int) = minOf(
+            enginesFor(order, rank.ranks, level, knownShare, profile),
+            order.size - reserve.engines(StatedRank(level - 1, rank.ranks), profile, order, nowMs),
+        )
+        val outrankingEnd = engines(rank.level)
+        val levelEnd = maxOf(outrankingEnd, engines(rank.level + 1))
+        val limit = maxOf(levelEnd, order.size - reserve.engines(rank, profile, order, nowMs))
         val layout = RankedLayout(order, outrankingEnd, levelEnd, limit)
         return if (demand.isShort(
                 profile,
@@ -52,6 +56,7 @@
         }
     }
 
+    // Engines at the start of the order that streams of the levels before [level] need.
     private fun enginesFor(
         order: List<UpstreamView>,
         ranks: ServiceRanks,
@@ -75,7 +80,9 @@
         // Other instances' latest placements are not known yet; a random sample keeps instances from choosing the same engine.
         val best = sample(layout.shared.ifEmpty { layout.order }, settings.sampleSize).minBy(cost)
         if (cost(best) < LATE_COST_MS) return best
-        val other = (sample(layout.open, settings.maxCompared) + best).minBy(cost)
+        // The first engine that is in time, because the best one would be the choice of all instances until the next report.
+        val compared = sample(layout.open, settings.maxCompared).shuffled(random)
+        val other = compared.firstOrNull { cost(it) < LATE_COST_MS } ?: (compared + best).minBy(cost)
         if (cost(other) < LATE_COST_MS) return other
         // The engines that are left to lower ranks are used only if they are idle, so that a burst cannot occupy them.
         val idle = layout.reserved.filter { it.work.running == 0 && it.work.helping == 0 }
@@ -92,6 +99,7 @@
         // The event may have to wait for the end of the pass that runs now.
         val firstEventMs = waitMs + ownMs + profile.passMs
         val isLate = firstEventMs > demand.remainingMs(nowMs) ||
+            view.work.heldTokens + demand.size.kvTokens > profile.kvCapacityTokens ||
             view.work.pendingPrefillMs + ownMs + profile.passMs > demand.rank.ranks.pauseMsOf(demand.rank.level) ||
             view.work.pendingPrefillMs + ownMs > outrankingLimitMs(view.work, demand.rank, profile)
         return waitMs + settings.runningRequestMs * view.work.running + if (isLate) LATE_COST_MS else 0.0
@@ -233,7 +241,7 @@
 data class RankedPlacementSettings(
     val maxEngines: Int = 17,
     val streamShare: Double = 0.6,
-    val sampleSize: Int = 4,
+    val sampleSize: Int = 3,
     val maxCompared: Int = 48,
     val queuedRequestMs: Double = 200.0,
     val runningRequestMs: Double = 10.0,
--- a/core/src/main/kotlin/org/godwitwick/core/forward/RankedPrefillRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/RankedPrefillRule.kt
@@ -51,11 +51,17 @@
         /** Largest prefill in one pass with which a stream of the same level pauses no longer than its target. */
         val ownLimitMs = (rank.ranks.pauseMsOf(rank.level) - profile.passMs) * settings.stallShare
 
+        /** KV cache that each of [count] engines holds, except that the first one also holds the answer. */
+        fun partTokens(count: Int): Long = if (isSplit) demand.size.promptTokens / count else 0
+
+        /** Whether [view] can answer if the prompt is prefilled on [count] engines. */
+        fun canAnswer(view: UpstreamView, count: Int): Boolean =
+            view.work.heldTokens + demand.size.kvTokens - partTokens(count) * (count - 1) <= profile.kvCapacityTokens
+
         // The engine with the fewest requests answers; if the prompt does not fit into its memory, the others hold equal parts.
         fun placementOn(engines: List<UpstreamView>): Placement {
-            val first = engines.minBy { it.work.running }
-            val reservedTokens = if (isSplit) demand.size.promptTokens / engines.size else 0
-            return Placement(first.entry, engines.filter { it !== first }.map { Helper(it.entry, reservedTokens) })
+            val first = engines.filter { canAnswer(it, engines.size) }.minBy { it.work.running }
+            return Placement(first.entry, engines.filter { it !== first }.map { Helper(it.entry, partTokens(engines.size)) })
         }
     }
 
@@ -101,14 +107,16 @@
 
     private fun choose(prompt: Prompt, count: Int, candidates: List<Candidate>): Choice? {
         val partMs = prompt.totalMs / count
-        val partTokens = if (prompt.isSplit) prompt.demand.size.kvTokens / count + 1 else 0
+        val partTokens = prompt.partTokens(count)
         val fitting = candidates.filter {
             it.waitMs + partMs <= it.limitMs && it.view.work.heldTokens + partTokens <= prompt.profile.kvCapacityTokens
         }
         if (fitting.size < count) return null
-        val engines = fitting
-            .sortedBy { it.waitMs + it.preferenceMs + settings.stalledStreamMs * stalled(prompt, it.view, partMs) }
-            .take(count)
+        val sorted = fitting.sortedBy {
+            it.waitMs + it.preferenceMs + settings.stalledStreamMs * stalled(prompt, it.view, partMs)
+        }
+        val first = sorted.firstOrNull { prompt.canAnswer(it.view, count) } ?: return null
+        val engines = sorted.take(count).let { if (first in it) it else it.dropLast(1) + first }
         return Choice(
             engines.map {
                 it.view
--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
@@ -45,6 +45,7 @@
  * @property toleratesPrefill whether the silence of an engine that prefills is no failure.
  * @property ranked settings of the placement by rank.
  * @property ranks the decisions that use the stated ranks.
+ * @property rankedShare fraction of the instances that know ranks; the others are of the version before.
  */
 data class PlacementVariant(
     val name: String,
@@ -54,6 +55,7 @@
     val toleratesPrefill: Boolean = true,
     val ranked: RankedPlacementSettings = RankedPlacementSettings(),
     val ranks: Set<RankUse> = RankUse.entries.toSet(),
+    val rankedShare: Double = 1.0,
 ) {
     companion object {
         /** The settings that the product uses. */
@@ -63,6 +65,7 @@
         val RANK_STEPS = listOf(
             PlacementVariant("unranked", ranks = emptySet()),
             PlacementVariant("rank-urgency", ranks = setOf(RankUse.URGENCY)),
+            PlacementVariant("rank-half-fleet", rankedShare = 0.5),
             PlacementVariant("rank-long", ranks = setOf(RankUse.URGENCY, RankUse.LONG_PROMPTS)),
         )
 
@@ -103,6 +106,7 @@
 
     private inner class Instance(index: Int, variant: PlacementVariant, seed: Long) {
         private val random = Random(seed * SEED_PRIME + index)
+        val knowsRanks = index < mix.instances * variant.rankedShare
         val registered = RegisteredInstance(InstanceId("entry-$index"), "dc-${index % DATA_CENTRES}", "entry-$index:1")
         val loads = UpstreamLoads()
         val peerLoads = PeerLoads()
@@ -211,7 +215,8 @@
         val targetMs = if (request.lastEventMs.isNaN()) request.kind.targetMs else request.kind.pauseTargetMs
         val leavesAtMs = minOf(sinceMs + request.patienceMs.toLong(), request.arrivedMs.toLong() + request.kind.deadlineMs)
         val wait = CallerWait(sinceMs, targetMs, leavesAtMs)
-        val rank = rankOf(request, if (size.isShort) RankUse.SHORT_PROMPTS else RankUse.LONG_PROMPTS)
+        val use = if (size.isShort) RankUse.SHORT_PROMPTS else RankUse.LONG_PROMPTS
+        val rank = if (instance.knowsRanks) rankOf(request, use) else null
         val demand = ForwardDemand(size, wait, isStreaming = true, pauses, rank)
         val decision = instance.placer.place(demand, profile, engines.keys.toList(), nowMs.toLong())
         when (decision) {
@@ -234,7 +239,12 @@
         val decodingEngine = engines.getValue(work.placement.upstream)
         val helpers = work.placement.helpers.map { engines.getValue(it.upstream) }
         val attempt =
-            ModelAttempt(request, decodingEngine, helpers + decodingEngine, urgencyOf(size, rankOf(request, RankUse.URGENCY)))
+            ModelAttempt(
+                request,
+                decodingEngine,
+                helpers + decodingEngine,
+                urgencyOf(size, if (instance.knowsRanks) rankOf(request, RankUse.URGENCY) else null),
+            )
         val entries = work.placement.helpers.map { it.upstream } + work.placement.upstream
         val sent = Sent(instance, attempt, entries, instance.loads.begin(work, nowMs.toLong()), nowMs)
         sent.restartTimer(nowMs, streamTimeouts.firstEventTimeoutMs(routes.getValue(request.kind), request.attempts - 1))
