--- a/core/src/main/kotlin/org/godwitwick/core/forward/LowerRankReserve.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/LowerRankReserve.kt
@@ -7,9 +7,9 @@
  * The number of engines that are left to the requests which a level outranks.
  *
  * Load pattern: a burst of short streams of a high rank that would occupy every engine, so that lower ranks and the largest prompts, which
- * use only engines without such streams, would never begin. There are as many as the known streams of lower levels occupy, at least as many
- * as hold the largest prompt seen, and none while no lower rank has been seen for [DEMAND_MS]. Never more than
- * [RankedPlacementSettings.maxReserveShare] of the engines, so that the reserve cannot become a reason why a high rank is late.
+ * use only engines without such streams, would never begin. There are as many as the known streams of lower levels occupy, up to
+ * [RankedPlacementSettings.maxStreamReserveShare] of the engines, but as many as hold the largest prompt seen, up to
+ * [RankedPlacementSettings.maxReserveShare]. There are none while no lower rank has been seen for [DEMAND_MS].
  */
 class LowerRankReserve(private val settings: RankedPlacementSettings) {
     private val largestTokens = AtomicLong()
@@ -30,7 +30,8 @@
         val lowerStreams = candidates.sumOf { it.work.levels.total - it.work.levels.before(rank.level + 1) }
         if (lowerStreams == 0 && (lowerSeenAtMs == Long.MIN_VALUE || nowMs - lowerSeenAtMs > DEMAND_MS)) return 0
         val forMemory = ceil(largestTokens.get() / (profile.kvCapacityTokens * settings.partMemoryShare)).toInt()
-        return maxOf(forMemory, lowerStreams).coerceAtMost((candidates.size * settings.maxReserveShare).toInt())
+        val forStreams = minOf(lowerStreams, (candidates.size * settings.maxStreamReserveShare).toInt())
+        return maxOf(forMemory, forStreams).coerceAtMost((candidates.size * settings.maxReserveShare).toInt())
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/godwitwick/core/forward/RankedPlacementRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/RankedPlacementRule.kt
@@ -46,14 +46,8 @@
         val levelEnd = maxOf(outrankingEnd, engines(rank.level + 1))
         val limit = maxOf(levelEnd, order.size - reserve.engines(rank, profile, order, nowMs))
         val layout = RankedLayout(order, outrankingEnd, levelEnd, limit)
-        return if (demand.isShort(
-                profile,
-            )
-        ) {
-            placeShort(demand, profile, layout, nowMs)
-        } else {
-            prefill.decide(demand, profile, layout, nowMs)
-        }
+        val isShort = demand.isShort(profile)
+        return if (isShort) placeShort(demand, profile, layout, nowMs) else prefill.decide(demand, profile, layout, nowMs)
     }
 
     // Engines at the start of the order that streams of the levels before [level] need.
@@ -82,11 +76,7 @@
         if (cost(best) < LATE_COST_MS) return best
         // The first engine that is in time, because the best one would be the choice of all instances until the next report.
         val compared = sample(layout.open, settings.maxCompared).shuffled(random)
-        val other = compared.firstOrNull { cost(it) < LATE_COST_MS } ?: (compared + best).minBy(cost)
-        if (cost(other) < LATE_COST_MS) return other
-        // The engines that are left to lower ranks are used only if they are idle, so that a burst cannot occupy them.
-        val idle = layout.reserved.filter { it.work.running == 0 && it.work.helping == 0 }
-        return (sample(idle, settings.sampleSize) + other).minBy(cost)
+        return compared.firstOrNull { cost(it) < LATE_COST_MS } ?: (compared + best).minBy(cost)
     }
 
     private fun sample(views: List<UpstreamView>, count: Int): List<UpstreamView> =
@@ -236,7 +226,8 @@
  * @property lastCallMs time before the latest possible start at which a late prompt begins in any case, in milliseconds.
  * @property singleMemoryShare fraction of an engine's KV cache up to which a request is held by a single engine.
  * @property partMemoryShare largest fraction of an engine's KV cache that a part of a larger request takes.
- * @property maxReserveShare upper bound of the fraction of the engines that is left to lower ranks.
+ * @property maxReserveShare upper bound of the fraction of the engines that is left to lower ranks for the memory of their largest prompt.
+ * @property maxStreamReserveShare upper bound of the fraction of the engines that is left to lower ranks for the number of their streams.
  */
 data class RankedPlacementSettings(
     val maxEngines: Int = 17,
@@ -258,5 +249,6 @@
     val lastChanceMs: Double = 500.0,
     val besideShare: Double = 0.5,
     val besideMs: Double = 100.0,
-    val maxReserveShare: Double = 0.25,
+    val maxReserveShare: Double = 0.5,
+    val maxStreamReserveShare: Double = 0.25,
 )
--- a/core/src/main/kotlin/org/godwitwick/core/forward/RankedPrefillRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/RankedPrefillRule.kt
@@ -18,7 +18,10 @@
         val order = layout.order
         val possibleCount = minOf(settings.maxEngines, order.size)
         if (prompt.minEngines > possibleCount) return RankedDecision.NoUpstream
-        val allowed = order.mapIndexedNotNull { index, view -> candidateOf(prompt, view, index, layout) }
+        // A late prompt may use the engines that are shared by streams which outrank it, while there are none of them.
+        val isPastTarget = prompt.totalMs / possibleCount > demand.remainingMs(nowMs)
+        val sharedEnd = if (isPastTarget) 0 else layout.outrankingEnd
+        val allowed = order.mapIndexedNotNull { index, view -> candidateOf(prompt, view, index, sharedEnd, order.size) }
         val candidates = sample(allowed)
         val outranking = order.size - allowed.count { it.limitMs == Double.POSITIVE_INFINITY }
         fun inputs(forecast: PrefillForecast, isLate: Boolean) = layout.inputs(prompt.rank.level, forecast, isLate, outranking)
@@ -76,11 +79,10 @@
     private class Choice(val engines: List<UpstreamView>, val partMs: Double, val backlogMs: Double, val stalled: Int)
 
     // Null if no part of the prompt may be prefilled there.
-    private fun candidateOf(prompt: Prompt, view: UpstreamView, index: Int, layout: RankedLayout): Candidate? {
+    private fun candidateOf(prompt: Prompt, view: UpstreamView, index: Int, sharedEnd: Int, count: Int): Candidate? {
         if (view.work.helping >= prompt.profile.slots - FREE_HELP_SLOTS) return null
         val rank = prompt.rank
-        val count = layout.order.size
-        val pauseLimitMs = if (index < layout.outrankingEnd) {
+        val pauseLimitMs = if (index < sharedEnd) {
             rank.ranks.smallestPauseMs(rank.level - 1) - prompt.profile.passMs
         } else {
             outrankingLimitMs(view.work, rank, prompt.profile)
