--- a/core/src/main/kotlin/org/godwitwick/core/forward/ForwardAdmission.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/ForwardAdmission.kt
@@ -11,12 +11,17 @@
 data class ForwardTarget(val host: String, val path: String, val key: String?)
 
 /**
- * Route and organisation of an admitted request.
+ * Route, organisation and rank of an admitted request.
  *
  * @property organisation null if the route needs no key.
  * @property regions regions in which the request may be handled, or null for all.
  */
-data class AdmittedTarget(val route: ForwardRoute, val organisation: OrganisationId?, val regions: Set<String>? = null)
+data class AdmittedTarget(
+    val route: ForwardRoute,
+    val organisation: OrganisationId?,
+    val regions: Set<String>? = null,
+    val rank: RequestRank = RequestRank(route.priority ?: RequestRank.UNSTATED, route.priority ?: RequestRank.UNSTATED),
+)
 
 /**
  * Configuration of an instance and how recent it is.
@@ -43,7 +48,9 @@
         if (!isFresh) return Err(stale())
         val organisation = target.key?.let(table::organisationOf)
             ?: return Err(Failure(ErrorKind.UNAUTHENTICATED, "no valid key in the Authorization header"))
-        return Ok(AdmittedTarget(route, organisation, table.allowedRegionsOf(route, organisation)))
+        return Ok(
+            AdmittedTarget(route, organisation, table.allowedRegionsOf(route, organisation), table.rankOf(route, organisation)),
+        )
     }
 
     private fun stale() = unconfirmed("the configuration has not been confirmed for too long")
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
@@ -4,6 +4,7 @@
 import org.godwitwick.core.forward.CallerWait
 import org.godwitwick.core.forward.ForwardService
 import org.godwitwick.core.forward.RouteKind
+import org.godwitwick.core.forward.StatedRank
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.forward.UpstreamList
 
@@ -37,10 +38,15 @@
         val open = openOf(known)
         if (open.isEmpty() && known.isNotEmpty()) return PlacementDecision.Limited(context.statements.waitsMs(known))
         val pauses = context.fleetView.routing.table?.pauseTargetsOf(serviceName)
-        val demand = ForwardDemand(request.size, wait, target.route.kind is RouteKind.Streaming, pauses)
+        val isStreaming = target.route.kind is RouteKind.Streaming
+        val demand = ForwardDemand(request.size, wait, isStreaming, pauses, rankAt(serviceName, target))
         return placeOn(open.without(triedProcesses).ifEmpty { open }, demand, service)
     }
 
+    /** Rank of the request, [admitted] as given, at the service called [serviceName]; null if the service is not contended by rank. */
+    fun rankAt(serviceName: String, admitted: AdmittedTarget): StatedRank? =
+        context.fleetView.routing.table?.ranksOf(serviceName)?.let { StatedRank(it.levelOf(admitted.rank), it) }
+
     // The helpers of a long prompt take load as well, so it is placed on upstreams without a limit where there are some.
     private fun openOf(known: UpstreamList): UpstreamList {
         val open = context.statements.open(known)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamLoads.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamLoads.kt
@@ -1,6 +1,8 @@
 package org.godwitwick.node.forward
 
 import org.godwitwick.core.forward.Placement
+import org.godwitwick.core.forward.ServiceRanks
+import org.godwitwick.core.forward.StreamLevels
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.forward.UpstreamList
 import org.godwitwick.core.forward.UpstreamWork
@@ -13,6 +15,7 @@
  * @property heldTokens KV cache that the request occupies at the first engine, in tokens.
  * @property queuedPrefillMs prefill queued before it at the participating engines, in milliseconds; zero for an engine that is
  *   not listed.
+ * @property level level of the stream among the stated ranks, or null if none are stated.
  */
 data class PlacedWork(
     val placement: Placement,
@@ -20,6 +23,7 @@
     val heldTokens: Long,
     val isShortStream: Boolean,
     val queuedPrefillMs: Map<InstanceId, Double> = emptyMap(),
+    val level: Int? = null,
 )
 
 /**
@@ -42,6 +46,7 @@
         var shortStreams = 0
         var helping = 0
         var heldTokens = 0L
+        val levels = IntArray(ServiceRanks.MAX_LEVELS)
         var penaltyMs = 0.0
         var penaltyAtMs = 0L
 
@@ -51,6 +56,7 @@
             shortStreams,
             helping,
             heldTokens,
+            StreamLevels.of { levels[it] },
         )
 
         fun penaltyAt(nowMs: Long): Double =
@@ -84,6 +90,7 @@
         val first = addShare(work.placement.upstream, work, nowMs, work.heldTokens)
         first.load.running++
         if (work.isShortStream) changeShortStreams(first, 1)
+        work.level?.let { first.load.levels[it]++ }
         val helpers = work.placement.helpers.map { addShare(it.upstream, work, nowMs, it.reservedTokens) }
         helpers.forEach { it.load.helping++ }
         return CountedWork(work, first, helpers)
@@ -165,6 +172,7 @@
             onPrefillDone()
             first.load.running--
             if (work.isShortStream) changeShortStreams(first, -1)
+            work.level?.let { first.load.levels[it]-- }
             (helpers + first).forEach { it.load.heldTokens -= it.heldTokens }
         }
     }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
@@ -10,11 +10,17 @@
 import org.godwitwick.core.forward.PrefillForecast
 import org.godwitwick.core.forward.PrefillStart
 import org.godwitwick.core.forward.PrefillStartRule
+import org.godwitwick.core.forward.RankedDecision
+import org.godwitwick.core.forward.RankedDemand
+import org.godwitwick.core.forward.RankedInputs
+import org.godwitwick.core.forward.RankedPlacementRule
 import org.godwitwick.core.forward.RequestSize
+import org.godwitwick.core.forward.StatedRank
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.forward.UpstreamList
 import org.godwitwick.core.forward.UpstreamView
 import org.godwitwick.core.forward.UpstreamWork
+import kotlin.random.Random
 
 /**
  * A request to be placed.
@@ -22,16 +28,23 @@
  * @property size size in tokens, or null for requests to plain services.
  * @property wait the caller's wait for the answer, or for the next event of a stream.
  * @property pauses the longest allowed pauses of the service's streams, or null if it has none.
+ * @property rank rank of the request, or null if the service is not contended by rank.
  */
-data class ForwardDemand(val size: RequestSize?, val wait: CallerWait, val isStreaming: Boolean, val pauses: PauseTargets?)
+data class ForwardDemand(
+    val size: RequestSize?,
+    val wait: CallerWait,
+    val isStreaming: Boolean,
+    val pauses: PauseTargets?,
+    val rank: StatedRank? = null,
+)
 
 /** Decision on a [ForwardDemand]. */
 sealed interface PlacementDecision {
-    /** The request is sent as [work] says. */
-    data class Send(val work: PlacedWork) : PlacementDecision
+    /** The request is sent as [work] says; [inputs] are those of a decision by rank. */
+    data class Send(val work: PlacedWork, val inputs: RankedInputs? = null) : PlacementDecision
 
     /** The engines have too much prefill pending for a prefill as in [forecast]; the request is placed again a little later. */
-    data class Wait(val forecast: PrefillForecast) : PlacementDecision
+    data class Wait(val forecast: PrefillForecast, val inputs: RankedInputs? = null) : PlacementDecision
 
     /** The request cannot be answered in time; the engines may take it after [retryAfterMs]. */
     data class Reject(val retryAfterMs: Long) : PlacementDecision
@@ -54,18 +67,18 @@
     private val peerLoads: PeerLoads,
     private val instanceCount: () -> Int?,
     private val startRule: PrefillStartRule = PrefillStartRule(),
+    private val rankedRule: RankedPlacementRule = RankedPlacementRule(Random.Default),
 ) {
     /** Places [demand] on some of [candidates]. [engine] is null for plain services. */
     fun place(demand: ForwardDemand, engine: EngineProfile?, candidates: UpstreamList, nowMs: Long): PlacementDecision {
         val known = KnownCandidates(candidates, peerLoads.at(nowMs), nowMs)
+        if (demand.rank != null && demand.size != null && engine != null) {
+            return placeRanked(demand, RankedDemand(demand.size, demand.wait, demand.rank), engine, known)
+        }
         val placement = placementOf(demand, engine, known) ?: return PlacementDecision.NoUpstream
-        val isShortStream = demand.isStreaming && demand.size?.isShort != false
-        val engines = placement.helpers.map { it.upstream } + placement.upstream
-        val queuedPrefillMs = engines.associate { it.id to known.workAt(it).pendingPrefillMs }
-        val prefillMs = prefillMsOf(demand, engine, placement)
-        val work = PlacedWork(placement, prefillMs, heldTokensOf(demand, placement), isShortStream, queuedPrefillMs)
+        val work = workOf(demand, engine, placement, known, demand.size?.isShort != false)
         if (demand.size?.isShort != false) return PlacementDecision.Send(work)
-        val forecast = PrefillForecast(prefillMs, queuedPrefillMs.values.maxOrNull() ?: 0.0)
+        val forecast = PrefillForecast(work.prefillMs, work.queuedPrefillMs.values.maxOrNull() ?: 0.0)
         return when (val start = startRule.decide(demand.wait, forecast, nowMs)) {
             is PrefillStart.Begin -> PlacementDecision.Send(work)
             is PrefillStart.Wait -> PlacementDecision.Wait(forecast)
@@ -73,6 +86,45 @@
         }
     }
 
+    private fun placeRanked(
+        demand: ForwardDemand,
+        ranked: RankedDemand,
+        engine: EngineProfile,
+        known: KnownCandidates,
+    ): PlacementDecision {
+        val views = List(known.size, known::viewAt)
+        return when (val decision = rankedRule.place(ranked, engine, views, knownShare(known.others), known.nowMs)) {
+            is RankedDecision.Send -> {
+                val work = workOf(demand, engine, decision.placement, known, ranked.isShort(engine))
+                PlacementDecision.Send(work, decision.inputs)
+            }
+
+            is RankedDecision.Wait -> PlacementDecision.Wait(decision.inputs.forecast, decision.inputs)
+
+            is RankedDecision.Reject -> PlacementDecision.Reject(decision.retryAfterMs)
+
+            is RankedDecision.NoUpstream -> PlacementDecision.NoUpstream
+        }
+    }
+
+    private fun workOf(
+        demand: ForwardDemand,
+        engine: EngineProfile?,
+        placement: Placement,
+        known: KnownCandidates,
+        isShort: Boolean,
+    ): PlacedWork {
+        val engines = placement.helpers.map { it.upstream } + placement.upstream
+        return PlacedWork(
+            placement,
+            prefillMsOf(demand, engine, placement),
+            heldTokensOf(demand, placement),
+            isShortStream = demand.isStreaming && isShort,
+            queuedPrefillMs = engines.associate { it.id to known.workAt(it).pendingPrefillMs },
+            level = demand.rank?.level.takeIf { demand.isStreaming },
+        )
+    }
+
     /** Whether one of [engines] is known to have unfinished prefills at [nowMs]. */
     fun isPrefilling(engines: List<UpstreamEntry>, nowMs: Long): Boolean {
         if (engines.any { loads.workAt(it, nowMs).pendingPrefillMs > 0 }) return true
