Test levels in load reports, ranks under the burst pattern and in half of the fleet

A report without levels, or with a malformed list of them, counts as before. Long prompts by rank are announced to other instances by the same threshold by which they are placed.

--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
@@ -249,7 +249,7 @@
         val sent = Sent(instance, attempt, entries, instance.loads.begin(work, nowMs.toLong()), nowMs)
         sent.restartTimer(nowMs, streamTimeouts.firstEventTimeoutMs(routes.getValue(request.kind), request.attempts - 1))
         inProgress[request] = sent
-        if (!size.isShort) schedule(nowMs + SEND_DELAY_MS) { instance.exchange.sendNow(it.toLong(), it.toLong()) }
+        if (work.isLongPrompt) schedule(nowMs + SEND_DELAY_MS) { instance.exchange.sendNow(it.toLong(), it.toLong()) }
         attempt.engines.forEach { it.accept(attempt, nowMs) }
     }
 
--- a/lab/src/test/kotlin/org/godwitwick/lab/forward/ForwardFleetModelTest.kt
+++ b/lab/src/test/kotlin/org/godwitwick/lab/forward/ForwardFleetModelTest.kt
@@ -77,6 +77,39 @@
         expectThat(shortCredit(PlacementVariant.CURRENT)).isGreaterThan(shortCredit(PlacementVariant.MORE_SHARED))
     }
 
+    private fun onTimeByKind(mixName: String, variant: PlacementVariant): Map<String, Double> =
+        SEEDS.flatMap { play(mixName, variant, it) }.groupBy { it.kind.name }
+            .mapValues { (_, requests) -> requests.count { it.isOnTime }.toDouble() / requests.size }
+
+    // Load pattern: bursts of digests (rank 2) and of short messages (rank 0) in turn. Guards against a kind that is served less often
+    // than a less urgent one, by over 5 in 100, and against gains of one rank that another pays for.
+    @Test
+    fun `with stated ranks no kind is in time less often than a less urgent one or than without ranks`() {
+        val ranked = onTimeByKind("rbq-small", PlacementVariant.CURRENT)
+        val unranked = onTimeByKind("rbq-small", PlacementVariant.RANK_STEPS.first { it.ranks.isEmpty() })
+        listOf("short", "reviews", "digests").zipWithNext { urgent, other ->
+            expectThat(ranked.getValue(urgent)).isGreaterThan(ranked.getValue(other) - 0.05)
+        }
+        expectThat(ranked.getValue("short")).isGreaterThan(unranked.getValue("short") + 0.05)
+        expectThat(ranked.getValue("reviews")).isGreaterThan(unranked.getValue("reviews") + 0.05)
+        expectThat(ranked.getValue("digests")).isGreaterThan(unranked.getValue("digests"))
+    }
+
+    // Guards against an upgrade during which short messages do worse than before or after it, as half of the instances report no levels.
+    @Test
+    fun `short messages gain from ranks as soon as half of the instances know them`() {
+        fun short(variant: PlacementVariant) = onTimeByKind("rbq-small", variant).getValue("short")
+        val half = PlacementVariant("half", rankedShare = 0.5)
+        expectThat(short(half)).isGreaterThan(short(PlacementVariant("none", ranks = emptySet())))
+    }
+
+    // Guards against decisions by rank in a deployment whose priorities are all equal.
+    @Test
+    fun `equal priorities change nothing`() {
+        val unranked = PlacementVariant("none", ranks = emptySet())
+        expectThat(creditOf(play("darivo-small"))).isEqualTo(creditOf(play("darivo-small", unranked)))
+    }
+
     @Test
     fun `the same seed gives the same figures`() {
         expectThat(creditOf(play("pindan"))).isEqualTo(creditOf(play("pindan")))
--- a/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamAttempt.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamAttempt.kt
@@ -45,7 +45,7 @@
     private fun sendPlaced(work: PlacedWork, admitted: AdmittedTarget, lastEventId: Long?): RunOutcome? {
         val placement = work.placement
         val progress = context.loads.begin(work, Clocks.steadyMs())
-        if (request.size?.isShort == false) context.onLongPromptPlaced()
+        if (work.isLongPrompt) context.onLongPromptPlaced()
         val reservedHelpers = context.reservations.reserve(placement, request.id).getOrElse { refusing ->
             progress.end()
             refusing.forEach { placer.avoid(it.address) }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamLoads.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamLoads.kt
@@ -14,6 +14,7 @@
  * @property heldTokens KV cache that the request occupies at the first engine, in tokens.
  * @property queuedPrefillMs prefill queued before it at the participating engines, in milliseconds; zero for an engine that is
  *   not listed.
+ * @property isLongPrompt whether the prefill is so long that other instances must know of it before they place theirs.
  * @property level level of the stream among the stated ranks, or null if none are stated.
  */
 data class PlacedWork(
@@ -23,6 +24,7 @@
     val isShortStream: Boolean,
     val queuedPrefillMs: Map<InstanceId, Double> = emptyMap(),
     val level: Int? = null,
+    val isLongPrompt: Boolean = false,
 )
 
 /**
--- a/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
@@ -129,6 +129,7 @@
             isShortStream = demand.isStreaming && isShort,
             queuedPrefillMs,
             level = demand.rank?.level.takeIf { demand.isStreaming },
+            isLongPrompt = demand.size != null && !isShort,
         )
     }
 
--- a/node/src/test/kotlin/org/godwitwick/node/forward/LoadExchangeTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/LoadExchangeTest.kt
@@ -2,6 +2,7 @@
 
 import org.godwitwick.core.forward.LoadExchangePlan
 import org.godwitwick.core.forward.Placement
+import org.godwitwick.core.forward.StreamLevels
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.forward.UpstreamWork
 import org.godwitwick.core.model.InstanceId
@@ -9,6 +10,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.all
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThanOrEqualTo
 
@@ -43,11 +45,15 @@
 
         fun runningAt(upstream: UpstreamEntry): Map<InstanceId, Int> = instances.filterKeys { it !in down }
             .mapValues { it.value.loads.workAt(upstream, nowMs).running + it.value.peerLoads.at(nowMs).workAt(upstream).running }
+
+        fun levelsAt(upstream: UpstreamEntry): List<StreamLevels> = instances.filterKeys { it !in down }
+            .values.map { it.loads.workAt(upstream, nowMs).levels + it.peerLoads.at(nowMs).workAt(upstream).levels }
     }
 
     private val upstream = UpstreamEntry(InstanceId("engine"), "llm", "10.0.0.1:1", "dc", 8, isLeaving = false, startedAtMs = 1)
 
-    private fun Instance.begin() = loads.begin(PlacedWork(Placement(upstream, emptyList()), 0.0, 1_000, isShortStream = true), 0)
+    private fun Instance.begin(level: Int? = null) =
+        loads.begin(PlacedWork(Placement(upstream, emptyList()), 0.0, 1_000, isShortStream = true, level = level), 0)
 
     // Guards against work that counts twice or not at all when bursts arrive at all instances of a fleet at once.
     @Test
@@ -82,6 +88,37 @@
         expectThat(fleet.runningAt(upstream).values.toList()).all { isEqualTo(1) }
     }
 
+    // Guards against instances that take the engines of another instance's streams for free of streams that outrank a prompt.
+    @Test
+    fun `every instance knows the streams by level of all instances until their reports stop`() {
+        for (size in listOf(2, 12, 71)) {
+            val fleet = Fleet(size)
+            fleet.instances.values.forEachIndexed { i, it -> it.begin(level = i % 2) }
+            fleet.rounds(6)
+            expectThat(fleet.levelsAt(upstream)).all { isEqualTo(StreamLevels.of { if (it < 2) (size + 1 - it) / 2 else 0 }) }
+        }
+        val pair = Fleet(2)
+        pair.instances.values.forEach { it.begin(level = 1) }
+        pair.rounds(6)
+        pair.down += pair.ids.first()
+        pair.rounds(6)
+        expectThat(pair.levelsAt(upstream).single().total).isEqualTo(1)
+    }
+
+    // Guards against a peer of the version before, whose streams would count as none, or whose report would be dropped.
+    @Test
+    fun `a report without levels counts as before`() {
+        val peerLoads = PeerLoads()
+        val key = ForwardLoad.keyOf(upstream.id)
+        val load = ForwardLoad(1_000, listOf(key), listOf(120), listOf(3), listOf(2), listOf(0), listOf(40))
+        peerLoads.onReport(InstanceId("old"), load, 0)
+        expectThat(peerLoads.at(0).workAt(upstream)).isEqualTo(UpstreamWork(120.0, 3, 2, 0, 40_000))
+        val malformed =
+            ForwardLoad(1_100, listOf(key), listOf(120), listOf(3), listOf(2), listOf(0), listOf(40), levels = listOf(1, 2))
+        expectThat(malformed.byUpstream()).isEqualTo(load.byUpstream())
+        expectThat(ForwardLoad.of(load.byUpstream(), 1_000).levels).isEmpty()
+    }
+
     // Guards against a number of messages that grows with the square of the fleet size.
     @Test
     fun `a large fleet sends at most four messages per instance and round`() {
