--- a/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
@@ -122,6 +122,7 @@
             isShortStream = demand.isStreaming && isShort,
             queuedPrefillMs = engines.associate { it.id to known.workAt(it).pendingPrefillMs },
             level = demand.rank?.level.takeIf { demand.isStreaming },
+            isLongPrompt = demand.size != null && !isShort,
         )
     }
 
