--- a/core/src/main/kotlin/org/godwitwick/core/forward/ColdUpstreams.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/ColdUpstreams.kt
@@ -77,10 +77,18 @@
 
     private fun onProcess(entry: UpstreamEntry, startMs: Long, nowMs: Long): ColdChange? {
         val isNew = entry.service in services
-        val statedMs = entry.coldRemainingMs ?: 0
+        val statedMs = (entry.coldRemainingMs ?: 0).coerceAtMost(MAX_COLD_MS)
         return when {
             statedMs > 0 -> set(entry, nowMs + statedMs, ColdCause.REGISTRATION, isNew, nowMs)
-            isNew && startMs > 0 -> set(entry, nowMs + startMs, ColdCause.NEW_PROCESS, isFresh = true, nowMs)
+
+            isNew && startMs > 0 -> set(
+                entry,
+                nowMs + startMs.coerceAtMost(MAX_COLD_MS),
+                ColdCause.NEW_PROCESS,
+                isFresh = true,
+                nowMs,
+            )
+
             else -> null
         }
     }
@@ -88,7 +96,7 @@
     // The age of a registration is not known, so what it states is an upper bound of the remaining time, unless the upstream has become
     // cold again.
     private fun onRenewal(entry: UpstreamEntry, previousMs: Long?, nowMs: Long): ColdChange? {
-        val statedMs = entry.coldRemainingMs ?: return null
+        val statedMs = entry.coldRemainingMs?.coerceAtMost(MAX_COLD_MS) ?: return null
         val state = states[entry.processKey]
         val untilMs = nowMs + statedMs
         if (statedMs == 0L) {
@@ -111,7 +119,7 @@
     /** Records at [nowMs] that the evacuation of the data centres of [entries] has ended. */
     fun onEvacuationEnded(entries: List<UpstreamEntry>, startMsOf: (String) -> Long?, nowMs: Long): List<ColdChange> =
         entries.mapNotNull { entry ->
-            val untilMs = nowMs + (startMsOf(entry.service) ?: return@mapNotNull null)
+            val untilMs = nowMs + (startMsOf(entry.service) ?: return@mapNotNull null).coerceAtMost(MAX_COLD_MS)
             if (untilMs <= (states[entry.processKey]?.untilMs ?: nowMs)) return@mapNotNull null
             set(entry, untilMs, ColdCause.EVACUATION_ENDED, isFresh = true, nowMs)
         }
@@ -121,7 +129,7 @@
      * already.
      */
     fun onAnswer(upstream: String, service: String, remainingMs: Long, nowMs: Long): ColdChange? {
-        val untilMs = nowMs + remainingMs
+        val untilMs = nowMs + remainingMs.coerceAtMost(MAX_COLD_MS)
         val knownMs = states[upstream]?.untilMs ?: nowMs
         val isKnown = if (remainingMs == 0L) knownMs <= nowMs else knownMs - untilMs in -TOLERANCE_MS..TOLERANCE_MS
         if (isKnown) return null
@@ -147,6 +155,9 @@
         /** Time within which a written registration is read; what is read earlier may have been written before an event. */
         const val REGISTRATION_LAG_MS = 3_000L
 
+        /** A longer time is taken for a fault of the upstream or the configuration. */
+        const val MAX_COLD_MS = 600_000L
+
         /** Differences between statements that come from the way of an answer. */
         const val TOLERANCE_MS = 200L
 
--- a/core/src/main/kotlin/org/godwitwick/core/forward/SendRate.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/SendRate.kt
@@ -47,12 +47,15 @@
         val senders = senderCount(fleetSize)
         val shareMs = MS_PER_SECOND * senders * VIEWS / (perSecond * bound.overage)
         val inOneSecond = halfPerSecond / senders
-        return maxOf(shareMs, MS_PER_SECOND * JITTER_FACTOR / inOneSecond).toLong()
+        return maxOf(shareMs, MS_PER_SECOND * JITTER_FACTOR / inOneSecond).coerceAtMost(MAX_SPACING_MS).toLong()
     }
 
     private companion object {
         const val VIEWS = 2
 
+        /** Longer than cold times are; keeps times finite for a rate or a bound close to zero. */
+        const val MAX_SPACING_MS = 3.6e6
+
         /** Requests of one sender may arrive up to 100 ms closer together than they were sent. */
         const val JITTER_FACTOR = 1.1
     }
--- a/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamLimits.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamLimits.kt
@@ -115,7 +115,7 @@
      */
     fun onAnswer(upstream: String, perSecond: Double?, fleet: Collection<InstanceId>, nowMs: Long): LimitNews? {
         val known = limits[upstream]
-        if (known == null && perSecond == null) return null
+        if (perSecond == null && (known == null || known.statedAtMs == NEVER_MS)) return null
         val limit = limits.getOrPut(upstream) { Limit(null, nowMs) }
         val isChange = limit.perSecond != perSecond
         set(limit, perSecond, fleet, nowMs)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ColdTracker.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ColdTracker.kt
@@ -58,8 +58,7 @@
 
     private fun onStatement(upstream: String, service: String, coldMs: Long, perSecond: Double): Boolean {
         val now = nowMs()
-        val statedMs = coldMs.coerceIn(0, MAX_COLD_MS)
-        val change = synchronized(this) { upstreams.onAnswer(upstream, service, statedMs, now) } ?: return false
+        val change = synchronized(this) { upstreams.onAnswer(upstream, service, coldMs.coerceAtLeast(0), now) } ?: return false
         apply(change, perSecond)
         report(listOf(change), now)
         return true
@@ -78,9 +77,6 @@
     private companion object {
         /** Bounds the log lines of one event, such as the end of an evacuation. */
         const val MAX_LOGGED = 20
-
-        /** A longer time is taken for a fault of the upstream. */
-        const val MAX_COLD_MS = 600_000L
         val log = LoggerFactory.getLogger(ColdTracker::class.java)
     }
 }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -46,8 +46,7 @@
         val admitted = state.admit().getOrElse { return RunOutcome.Failed(it) }
         context.crashGuard.quarantinedTraitOf(request, body)?.let { return RunOutcome.Failed(RunFailures.quarantined(it)) }
         if (state.relay.mustRefuse) return RunOutcome.Failed(RunFailures.cutOff())
-        val peer = state.relay.nextPeer { context.regions.allowsInstance(admitted.regions, it.dataCentre) }
-        peer?.let { return relayedAttempt.run(it, admitted.route, lastEventId) }
+        state.relay.nextPeer(admitted.regions)?.let { return relayedAttempt.run(it, admitted.route, lastEventId) }
         val service = state.service ?: admitted.route.serviceFor(context.random.nextDouble()).also(::onServiceChosen)
         return upstreamAttempt.run(admitted, service, lastEventId)
     }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestRelay.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RequestRelay.kt
@@ -1,11 +1,12 @@
 package org.godwitwick.node.forward
 
+import org.godwitwick.core.forward.Regions
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.model.InstanceId
 import org.slf4j.LoggerFactory
 
 /** Decides whether one request goes through another instance next, and through which. Used by one thread. */
-class RequestRelay(private val relay: Relay, private val request: CallerRequest) {
+class RequestRelay(private val relay: Relay, private val regions: Regions, private val request: CallerRequest) {
     private val usedPeers = HashSet<InstanceId>()
     private var failedConnections = 0
 
@@ -18,14 +19,14 @@
     }
 
     /**
-     * Returns the instance through which the request goes next, one for which [isAllowed] returns true, or null if this instance sends it
-     * itself.
+     * Returns the instance through which the request goes next, which may be handled in [allowed] regions only, or null if this instance
+     * sends it itself.
      */
-    fun nextPeer(isAllowed: (RegisteredInstance) -> Boolean): RegisteredInstance? {
+    fun nextPeer(allowed: Set<String>?): RegisteredInstance? {
         if (request.hop != null || !reachesNone()) return null
         // If only the upstreams that were tried are down, the other instances don't reach them either.
         if (!relay.isCutOff && usedPeers.isNotEmpty()) return null
-        val peer = relay.choose(usedPeers, isAllowed) ?: return null
+        val peer = relay.choose(usedPeers) { regions.allowsInstance(allowed, it.dataCentre) } ?: return null
         usedPeers += peer.id
         log.info("forward: {} goes through {}", request.id, peer.id)
         return peer
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunState.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunState.kt
@@ -26,7 +26,7 @@
     val placer = RequestPlacer(context, request)
     val turn = PrefillTurn(context, request.id, guard)
     val crashes = CrashObserver(context.crashGuard, request, body)
-    val relay = RequestRelay(context.relay, request)
+    val relay = RequestRelay(context.relay, context.regions, request)
     var counts = SendCounts()
     var lastEnd: AttemptEnd? = null
 
