--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunState.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunState.kt
@@ -27,7 +27,7 @@
     val ranks = RankObserver(context.metrics, request.id)
     val turn = PrefillTurn(context, request.id, guard)
     val crashes = CrashObserver(context.crashGuard, request, body)
-    val relay = RequestRelay(context.relay, request)
+    val relay = RequestRelay(context.relay, context.regions, request)
     var counts = SendCounts()
     var lastEnd: AttemptEnd? = null
 
