--- a/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamList.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamList.kt
@@ -41,9 +41,14 @@
     /** This list without [entry]. */
     operator fun minus(entry: UpstreamEntry): UpstreamList = without(listOf(entry.processKey))
 
-    private fun withoutPositions(positions: Collection<Int>): UpstreamList {
-        val merged = (excluded.asIterable() + positions).toSortedSet().toIntArray()
-        return if (merged.size == excluded.size) this else UpstreamList(all, hashes, merged)
+    private fun withoutPositions(positions: List<Int>): UpstreamList {
+        if (positions.isEmpty()) return this
+        val merged = excluded.copyOf(excluded.size + positions.size)
+        positions.forEachIndexed { i, position -> merged[excluded.size + i] = position }
+        merged.sort()
+        var count = 0
+        for (position in merged) if (count == 0 || merged[count - 1] != position) merged[count++] = position
+        return UpstreamList(all, hashes, merged.copyOf(count))
     }
 
     private fun positionOfProcess(key: String): Int? {
--- a/lab/src/main/kotlin/org/godwitwick/lab/slopes/PlacementSlopes.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/slopes/PlacementSlopes.kt
@@ -25,9 +25,9 @@
 /**
  * Mean processor time and allocation of one placement on the forward path, by the length of the prompt.
  *
- * @param reportMicros time to take in one report of another data centre at a collector.
- * @param fleetReportMicros time to take in one total of the fleet at an instance that is no collector.
- * @param listMicros time to build the list of upstreams when a registration changes.
+ * @property reportMicros time to take in one report of another data centre at a collector.
+ * @property fleetReportMicros time to take in one total of the fleet at an instance that is no collector.
+ * @property listMicros time to build the list of upstreams when a registration changes.
  */
 @Serializable
 data class PlacementSlope(
@@ -54,8 +54,9 @@
         val list = UpstreamList.of(upstreams)
         val loads = UpstreamLoads()
         val peerLoads = PeerLoads()
-        val statements = UpstreamStatements(InstanceId("entry-0"), { emptyList() }, { NOW_MS }, {})
-        val placer = WorkPlacer(PlacementRule(random), loads, peerLoads, { DATA_CENTRES * INSTANCES })
+        val fleet = List(DATA_CENTRES * INSTANCES) { InstanceId("entry-$it") }
+        val statements = UpstreamStatements(fleet.first(), { fleet }, { NOW_MS }, {})
+        val placer = WorkPlacer(PlacementRule(random), loads, peerLoads, { fleet.size })
         val reports = upstreams.groupBy { it.dataCentre }.map { (dataCentre, entries) ->
             val work = entries.associate { ForwardLoad.keyOf(it.id) to workOf(random) }
             ForwardLoad.of(work, NOW_MS, INSTANCES, LoadScope.DATA_CENTRE, dataCentre)
@@ -76,10 +77,12 @@
         val total = totalOf(upstreams, random)
         val receiver = PeerLoads().apply { onReport(InstanceId("collector"), total, NOW_MS) }
         receiver.at(NOW_MS).shortStreamsAt(list)
+        val micros = demands.mapValues { (_, demand) -> averageMicros { place(demand) } }
+        val allocated = demands.mapValues { (_, demand) -> allocatedBytes { place(demand) } }
         return PlacementSlope(
             upstreamCount,
-            demands.mapValues { (_, demand) -> averageMicros { place(demand) } },
-            demands.mapValues { (_, demand) -> allocatedBytes { place(demand) } },
+            micros,
+            allocated,
             averageMicros { peerLoads.onReport(InstanceId("collector"), reports[it % reports.size], NOW_MS) },
             averageMicros { receiver.onReport(InstanceId("collector"), total, NOW_MS) },
             averageMicros { UpstreamList.of(upstreams) },
