--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardFleetModel.kt
@@ -2,6 +2,7 @@
 
 import org.godwitwick.core.forward.CallerWait
 import org.godwitwick.core.forward.ForwardRoute
+import org.godwitwick.core.forward.ForwardService
 import org.godwitwick.core.forward.PauseTargets
 import org.godwitwick.core.forward.PlacementRule
 import org.godwitwick.core.forward.PlacementSettings
@@ -9,12 +10,19 @@
 import org.godwitwick.core.forward.PrefillSplitSettings
 import org.godwitwick.core.forward.PrefillStartRule
 import org.godwitwick.core.forward.PrefillStartSettings
+import org.godwitwick.core.forward.RankedPlacementRule
+import org.godwitwick.core.forward.RankedPlacementSettings
 import org.godwitwick.core.forward.RequestSize
 import org.godwitwick.core.forward.RouteKind
+import org.godwitwick.core.forward.RoutingConfig
+import org.godwitwick.core.forward.RoutingTable
 import org.godwitwick.core.forward.SilenceTimer
+import org.godwitwick.core.forward.StatedRank
 import org.godwitwick.core.forward.StreamTimeoutRule
 import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.core.forward.UpstreamList
 import org.godwitwick.core.forward.WeightedService
+import org.godwitwick.core.forward.urgencyOf
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.forward.ForwardDemand
 import org.godwitwick.node.forward.LoadExchange
@@ -28,11 +36,17 @@
 import java.util.PriorityQueue
 import kotlin.random.Random
 
+/** Decisions that use the stated rank of a request, to compare what each is worth. */
+enum class RankUse { URGENCY, LONG_PROMPTS, SHORT_PROMPTS }
+
 /**
  * Named settings of the placement rules, to compare in one experiment.
  *
  * @property start settings of the waits of long prompts.
  * @property toleratesPrefill whether the silence of an engine that prefills is no failure.
+ * @property ranked settings of the placement by rank.
+ * @property ranks the decisions that use the stated ranks.
+ * @property rankedShare fraction of the instances that know ranks; the others are of the version before.
  */
 data class PlacementVariant(
     val name: String,
@@ -40,11 +54,22 @@
     val split: PrefillSplitSettings = PrefillSplitSettings(),
     val start: PrefillStartSettings = PrefillStartSettings(),
     val toleratesPrefill: Boolean = true,
+    val ranked: RankedPlacementSettings = RankedPlacementSettings(),
+    val ranks: Set<RankUse> = RankUse.entries.toSet(),
+    val rankedShare: Double = 1.0,
 ) {
     companion object {
         /** The settings that the product uses. */
         val CURRENT = PlacementVariant("current")
 
+        /** With the decisions that use stated ranks added one after the other. */
+        val RANK_STEPS = listOf(
+            PlacementVariant("unranked", ranks = emptySet()),
+            PlacementVariant("rank-urgency", ranks = setOf(RankUse.URGENCY)),
+            PlacementVariant("rank-half-fleet", rankedShare = 0.5),
+            PlacementVariant("rank-long", ranks = setOf(RankUse.URGENCY, RankUse.LONG_PROMPTS)),
+        )
+
         /** Without the tolerance for the silence of engines that prefill. */
         val SILENCE_IS_LOSS = PlacementVariant("silence-is-loss", toleratesPrefill = false)
 
@@ -82,6 +107,7 @@
 
     private inner class Instance(index: Int, variant: PlacementVariant, seed: Long) {
         private val random = Random(seed * SEED_PRIME + index)
+        val knowsRanks = index < mix.instances * variant.rankedShare
         val registered = RegisteredInstance(InstanceId("entry-$index"), "dc-${index % DATA_CENTRES}", "entry-$index:1")
         val loads = UpstreamLoads()
         val peerLoads = PeerLoads()
@@ -89,9 +115,9 @@
             PlacementRule(random, variant.placement, PrefillSplitRule(variant.split)),
             loads,
             peerLoads,
-            random,
             { instances.size },
             PrefillStartRule(variant.start),
+            RankedPlacementRule(random, variant.ranked),
         )
         val exchange = LoadExchange(registered, loads, peerLoads) { to, message -> deliver(registered.id, to, message) }
     }
@@ -114,6 +140,8 @@
             PassEngine(mix.speed, ::schedule, { inProgress.getValue(it).work.onPrefillDone() }, ::end)
     }
 
+    private val upstreams = UpstreamList.of(engines.keys)
+
     private class Sent(
         val instance: Instance,
         val attempt: ModelAttempt,
@@ -132,6 +160,16 @@
     private val inProgress = HashMap<ModelRequest, Sent>()
     private val streamTimeouts = StreamTimeoutRule(STALL_MS)
     private val routes = mix.kinds.associateWith(::routeOf)
+    private val table = RoutingTable(
+        RoutingConfig(
+            1,
+            routes.values.toList(),
+            listOf(ForwardService(SERVICE, mix.speed.profile)),
+            organisations = null,
+            limits = null,
+        ),
+    )
+    private val ranks = table.ranksOf(SERVICE)
     private val pauses = PauseTargets.of(routes.values.toList(), SERVICE)
     private val profile = mix.speed.profile.copy(passMs = mix.speed.stepMs * mix.speed.stepsPerPass)
     private val instances = ArrayList<Instance>().apply { repeat(mix.instances) { add(Instance(it, variant, seed)) } }
@@ -177,9 +215,12 @@
         val size = RequestSize(request.promptTokens, request.remainingEvents.toLong() * mix.speed.stepsPerPass)
         val sinceMs = (if (request.lastEventMs.isNaN()) request.arrivedMs else request.lastEventMs).toLong()
         val targetMs = if (request.lastEventMs.isNaN()) request.kind.targetMs else request.kind.pauseTargetMs
-        val wait = CallerWait(sinceMs, targetMs, sinceMs + request.patienceMs.toLong())
-        val demand = ForwardDemand(size, wait, isStreaming = true, pauses)
-        val decision = instance.placer.place(demand, profile, engines.keys.toList(), nowMs.toLong())
+        val leavesAtMs = minOf(sinceMs + request.patienceMs.toLong(), request.arrivedMs.toLong() + request.kind.deadlineMs)
+        val wait = CallerWait(sinceMs, targetMs, leavesAtMs)
+        val use = if (size.isShort) RankUse.SHORT_PROMPTS else RankUse.LONG_PROMPTS
+        val rank = if (instance.knowsRanks) rankOf(request, use) else null
+        val demand = ForwardDemand(size, wait, isStreaming = true, pauses, rank)
+        val decision = instance.placer.place(demand, profile, upstreams, nowMs.toLong())
         when (decision) {
             is PlacementDecision.Send -> begin(request, size, decision.work, instance)
 
@@ -190,16 +231,27 @@
         }
     }
 
+    private fun rankOf(request: ModelRequest, use: RankUse): StatedRank? {
+        if (use !in variant.ranks) return null
+        return ranks?.let { StatedRank(it.levelOf(table.rankOf(routes.getValue(request.kind), null)), it) }
+    }
+
     private fun begin(request: ModelRequest, size: RequestSize, work: PlacedWork, instance: Instance) {
         request.attempts++
         val decodingEngine = engines.getValue(work.placement.upstream)
         val helpers = work.placement.helpers.map { engines.getValue(it.upstream) }
-        val attempt = ModelAttempt(request, decodingEngine, helpers + decodingEngine)
+        val attempt =
+            ModelAttempt(
+                request,
+                decodingEngine,
+                helpers + decodingEngine,
+                urgencyOf(size, if (instance.knowsRanks) rankOf(request, RankUse.URGENCY) else null),
+            )
         val entries = work.placement.helpers.map { it.upstream } + work.placement.upstream
         val sent = Sent(instance, attempt, entries, instance.loads.begin(work, nowMs.toLong()), nowMs)
         sent.restartTimer(nowMs, streamTimeouts.firstEventTimeoutMs(routes.getValue(request.kind), request.attempts - 1))
         inProgress[request] = sent
-        if (!size.isShort) schedule(nowMs + SEND_DELAY_MS) { instance.exchange.sendNow(it.toLong(), it.toLong()) }
+        if (work.isLongPrompt) schedule(nowMs + SEND_DELAY_MS) { instance.exchange.sendNow(it.toLong(), it.toLong()) }
         attempt.engines.forEach { it.accept(attempt, nowMs) }
     }
 
@@ -207,7 +259,7 @@
     private fun watch(request: ModelRequest) {
         if (request.isEnded) return
         val lastSignMs = if (request.lastEventMs.isNaN()) request.arrivedMs else request.lastEventMs
-        if (nowMs - lastSignMs >= request.patienceMs) {
+        if (nowMs - lastSignMs >= request.patienceMs || nowMs - request.arrivedMs >= request.kind.deadlineMs) {
             inProgress[request]?.attempt?.cancel()
             end(request)
             return
@@ -248,6 +300,7 @@
         split = listOf(WeightedService(SERVICE, 1.0)),
         maxRuns = 2,
         isPublic = true,
+        priority = kind.priority,
     )
 
     /** Prompt tokens that the engines prefilled, as a multiple of those that arrived. */
--- a/node/src/main/kotlin/org/godwitwick/node/forward/FleetView.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FleetView.kt
@@ -9,6 +9,7 @@
 import org.godwitwick.core.forward.RoutingState
 import org.godwitwick.core.forward.UpstreamDirectory
 import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.core.forward.UpstreamList
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.control.ControlThread
 import org.slf4j.LoggerFactory
@@ -37,9 +38,9 @@
     var routing = RoutingState(null, null)
         private set
 
-    /** Upstreams that may get new work, by service. */
+    /** Upstreams that may get new work, by service; ordered once for all requests. */
     @Volatile
-    var upstreams: Map<String, List<UpstreamEntry>> = emptyMap()
+    var upstreams: Map<String, UpstreamList> = emptyMap()
         private set
 
     /** Whether an upstream is registered that is not leaving, be its data centre evacuated or not. */
@@ -157,7 +158,7 @@
         if (known == present) return
         (present.keys - known.keys).forEach { log.info("upstream: {} is usable", present.getValue(it)) }
         (known.keys - present.keys).forEach { log.info("upstream: {} gets no new work", it) }
-        upstreams = usable.groupBy { it.service }
+        upstreams = usable.groupBy { it.service }.mapValues { UpstreamList.of(it.value) }
         loads.retain(present.keys)
     }
 
@@ -170,14 +171,8 @@
             reported += dataCentre
             val count = registered.count { it.dataCentre == dataCentre }
             if (count > 0) {
-                log.info(
-                    "evacuation: {} upstreams of {} get no new work, {} remain",
-                    count,
-                    dataCentre,
-                    upstreams.values.sumOf {
-                        it.size
-                    },
-                )
+                val remaining = upstreams.values.sumOf { it.size }
+                log.info("evacuation: {} upstreams of {} get no new work, {} remain", count, dataCentre, remaining)
             } else {
                 log.warn("evacuation: {} has no registered upstream; the evacuation stays in force", dataCentre)
             }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
@@ -42,6 +42,12 @@
         .labelNames("result")
         .withoutExemplars()
         .register(registry)
+    private val regionRefusals = Counter.builder()
+        .name("godwitwick_forward_region_refusals_total")
+        .help("Requests that were refused because no upstream is in an allowed region.")
+        .labelNames("service")
+        .withoutExemplars()
+        .register(registry)
     private val firstByte =
         histogram(registry, "godwitwick_forward_first_byte_seconds", "Time from the arrival to the first byte.")
     private val duration =
@@ -52,6 +58,13 @@
         "Time that long prompts waited at this instance because the engines had prefill pending.",
     )
 
+    private val ranked = Counter.builder()
+        .name("godwitwick_forward_ranked_total")
+        .help("Decisions on requests to services with stated ranks, by level and decision: in-time, late or waited.")
+        .labelNames("service", "level", "decision")
+        .withoutExemplars()
+        .register(registry)
+
     init {
         gauge(
             registry,
@@ -69,6 +82,9 @@
     /** Counts a send to another instance that ended with [result]. */
     fun recordRelay(result: String) = relayed.labelValues(result).inc()
 
+    /** Counts a request to [service] that was refused because no upstream is in an allowed region. */
+    fun recordRegionRefusal(service: String) = regionRefusals.labelValues(service).inc()
+
     private fun gauge(registry: PrometheusRegistry, name: String, help: String, value: () -> Int) =
         GaugeWithCallback.builder().name(name).help(help).callback { it.call(value().toDouble()) }.register(registry)
 
@@ -85,6 +101,10 @@
         duration.labelValues(service).observe(durationMs / MS_PER_SECOND)
     }
 
+    /** Counts a [decision] on a request of [level] to [service]. */
+    fun recordRanked(service: String, level: Int, decision: String) =
+        ranked.labelValues(service, level.toString(), decision).inc()
+
     /** Counts a retry of a request at another upstream of [service]. */
     fun recordRetry(service: String) = retries.labelValues(service).inc()
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -73,7 +73,7 @@
         dialect = dialect,
         fleetView = fleetView,
         admission = ForwardAdmission(freshness),
-        placer = WorkPlacer(PlacementRule(Random.Default), loads, peerLoads, Random.Default, peers.fleet::instanceCount),
+        placer = WorkPlacer(PlacementRule(Random.Default), loads, peerLoads, peers.fleet::instanceCount),
         streamTimeouts = StreamTimeoutRule(settings.stallMs),
         client = client,
         reservations = reservations,
@@ -101,6 +101,7 @@
         relayHeaders = relayHeaders,
         onLongPromptPlaced = peers::sendLoadSoon,
         bodyMemory = BodyMemory(settings.bodyMemoryBytes, Clocks::steadyMs).also { it.register(metrics.registry) },
+        regions = settings.regions,
     )
     private val configFollower =
         follower(CONFIG_FEED, configFeed, operatorPacingOf(settings), fleetView.operatorListener)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamAttempt.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamAttempt.kt
@@ -24,7 +24,9 @@
     /** Makes one attempt at the service called [serviceName]; returns null if the request is to be placed again. */
     fun run(admitted: AdmittedTarget, serviceName: String, lastEventId: Long?): RunOutcome? {
         val spec = context.fleetView.routing.table?.serviceOf(serviceName)
-        return when (val decision = placer.place(spec, serviceName, admitted.route, callerWait(admitted.route))) {
+        val decision = placer.place(spec, serviceName, admitted, callerWait(admitted.route))
+        state.ranks.onDecision(serviceName, decision)
+        return when (decision) {
             is PlacementDecision.Send -> {
                 state.turn.end(state.elapsedMs())
                 sendPlaced(decision.work, admitted, lastEventId)
@@ -36,7 +38,7 @@
 
             is PlacementDecision.Limited -> awaitLimit(decision.waitsMs, spec, admitted.route)
 
-            is PlacementDecision.NoUpstream -> RunOutcome.Failed(placementFailure(serviceName))
+            is PlacementDecision.NoUpstream -> RunOutcome.Failed(placementFailure(serviceName, admitted.regions))
         }
     }
 
@@ -44,7 +46,7 @@
     private fun sendPlaced(work: PlacedWork, admitted: AdmittedTarget, lastEventId: Long?): RunOutcome? {
         val placement = work.placement
         val progress = context.loads.begin(work, Clocks.steadyMs())
-        if (request.size?.isShort == false) context.onLongPromptPlaced()
+        if (work.isLongPrompt) context.onLongPromptPlaced()
         val reservedHelpers = context.reservations.reserve(placement, request.id).getOrElse { refusing ->
             progress.end()
             refusing.forEach { placer.avoid(it.address) }
@@ -74,7 +76,7 @@
             placement.upstream,
             admitted.organisation,
             state.remainingMs(),
-            urgencyOf(request.size),
+            urgencyOf(request.size, placer.rankAt(state.service.orEmpty(), admitted)),
             reservedHelpers.helpers,
             lastEventId,
         )
@@ -136,8 +138,21 @@
         steps.deadlineFailure() ?: RunFailures.callerGone()
     }
 
-    private fun placementFailure(serviceName: String): Failure = state.lastEnd?.let { failureOf(it, state.counts) }
-        ?: RunFailures.noPlacement(hasUpstream = placer.presentAt(serviceName).isNotEmpty())
+    private fun placementFailure(serviceName: String, regions: Set<String>?): Failure {
+        state.lastEnd?.let { return failureOf(it, state.counts) }
+        val hasUpstream = placer.presentAt(serviceName, regions).isNotEmpty()
+        if (hasUpstream || regions == null) return RunFailures.noPlacement(hasUpstream)
+        context.metrics.recordRegionRefusal(serviceName)
+        val elsewhere = placer.presentAt(serviceName, null).size
+        log.info(
+            "forward: {} may be handled in {} only; {} has {} upstreams elsewhere",
+            request.id,
+            regions,
+            serviceName,
+            elsewhere,
+        )
+        return RunFailures.noRegion(regions)
+    }
 
     private companion object {
         val log = LoggerFactory.getLogger(ForwardRun::class.java)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
@@ -4,14 +4,22 @@
 import org.godwitwick.core.forward.EngineProfile
 import org.godwitwick.core.forward.PauseTargets
 import org.godwitwick.core.forward.Placement
+import org.godwitwick.core.forward.PlacementCandidates
 import org.godwitwick.core.forward.PlacementDemand
 import org.godwitwick.core.forward.PlacementRule
 import org.godwitwick.core.forward.PrefillForecast
 import org.godwitwick.core.forward.PrefillStart
 import org.godwitwick.core.forward.PrefillStartRule
+import org.godwitwick.core.forward.RankedDecision
+import org.godwitwick.core.forward.RankedDemand
+import org.godwitwick.core.forward.RankedInputs
+import org.godwitwick.core.forward.RankedPlacementRule
 import org.godwitwick.core.forward.RequestSize
+import org.godwitwick.core.forward.StatedRank
 import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.core.forward.UpstreamList
 import org.godwitwick.core.forward.UpstreamView
+import org.godwitwick.core.forward.UpstreamWork
 import kotlin.random.Random
 
 /**
@@ -20,16 +28,23 @@
  * @property size size in tokens, or null for requests to plain services.
  * @property wait the caller's wait for the answer, or for the next event of a stream.
  * @property pauses the longest allowed pauses of the service's streams, or null if it has none.
+ * @property rank rank of the request, or null if the service is not contended by rank.
  */
-data class ForwardDemand(val size: RequestSize?, val wait: CallerWait, val isStreaming: Boolean, val pauses: PauseTargets?)
+data class ForwardDemand(
+    val size: RequestSize?,
+    val wait: CallerWait,
+    val isStreaming: Boolean,
+    val pauses: PauseTargets?,
+    val rank: StatedRank? = null,
+)
 
 /** Decision on a [ForwardDemand]. */
 sealed interface PlacementDecision {
-    /** The request is sent as [work] says. */
-    data class Send(val work: PlacedWork) : PlacementDecision
+    /** The request is sent as [work] says; [inputs] are those of a decision by rank. */
+    data class Send(val work: PlacedWork, val inputs: RankedInputs? = null) : PlacementDecision
 
     /** The engines have too much prefill pending for a prefill as in [forecast]; the request is placed again a little later. */
-    data class Wait(val forecast: PrefillForecast) : PlacementDecision
+    data class Wait(val forecast: PrefillForecast, val inputs: RankedInputs? = null) : PlacementDecision
 
     /** The request cannot be answered in time; the engines may take it after [retryAfterMs]. */
     data class Reject(val retryAfterMs: Long) : PlacementDecision
@@ -50,22 +65,20 @@
     private val rule: PlacementRule,
     private val loads: UpstreamLoads,
     private val peerLoads: PeerLoads,
-    private val random: Random,
     private val instanceCount: () -> Int?,
     private val startRule: PrefillStartRule = PrefillStartRule(),
+    private val rankedRule: RankedPlacementRule = RankedPlacementRule(Random.Default),
 ) {
     /** Places [demand] on some of [candidates]. [engine] is null for plain services. */
-    fun place(demand: ForwardDemand, engine: EngineProfile?, candidates: List<UpstreamEntry>, nowMs: Long): PlacementDecision {
-        val others = peerLoads.at(nowMs)
-        val views = candidates.shuffled(random).map { viewOf(it, others, nowMs) }
-        val placement = placementOf(demand, engine, views, knownShare(others)) ?: return PlacementDecision.NoUpstream
-        val isShortStream = demand.isStreaming && demand.size?.isShort != false
-        val engineIds = placement.helpers.mapTo(hashSetOf(placement.upstream.id)) { it.upstream.id }
-        val queuedPrefillMs = views.filter { it.entry.id in engineIds }.associate { it.entry.id to it.work.pendingPrefillMs }
-        val prefillMs = prefillMsOf(demand, engine, placement)
-        val work = PlacedWork(placement, prefillMs, heldTokensOf(demand, placement), isShortStream, queuedPrefillMs)
+    fun place(demand: ForwardDemand, engine: EngineProfile?, candidates: UpstreamList, nowMs: Long): PlacementDecision {
+        val known = KnownCandidates(candidates, peerLoads.at(nowMs), nowMs)
+        if (demand.rank != null && demand.size != null && engine != null) {
+            return placeRanked(demand, RankedDemand(demand.size, demand.wait, demand.rank), engine, known)
+        }
+        val placement = placementOf(demand, engine, known) ?: return PlacementDecision.NoUpstream
+        val work = workOf(demand, engine, placement, known, demand.size?.isShort != false)
         if (demand.size?.isShort != false) return PlacementDecision.Send(work)
-        val forecast = PrefillForecast(prefillMs, queuedPrefillMs.values.maxOrNull() ?: 0.0)
+        val forecast = PrefillForecast(work.prefillMs, work.queuedPrefillMs.values.maxOrNull() ?: 0.0)
         return when (val start = startRule.decide(demand.wait, forecast, nowMs)) {
             is PrefillStart.Begin -> PlacementDecision.Send(work)
             is PrefillStart.Wait -> PlacementDecision.Wait(forecast)
@@ -73,6 +86,46 @@
         }
     }
 
+    private fun placeRanked(
+        demand: ForwardDemand,
+        ranked: RankedDemand,
+        engine: EngineProfile,
+        known: KnownCandidates,
+    ): PlacementDecision {
+        val views = List(known.size, known::viewAt)
+        return when (val decision = rankedRule.place(ranked, engine, views, knownShare(known.others), known.nowMs)) {
+            is RankedDecision.Send -> {
+                val work = workOf(demand, engine, decision.placement, known, ranked.isShort(engine))
+                PlacementDecision.Send(work, decision.inputs)
+            }
+
+            is RankedDecision.Wait -> PlacementDecision.Wait(decision.inputs.forecast, decision.inputs)
+
+            is RankedDecision.Reject -> PlacementDecision.Reject(decision.retryAfterMs)
+
+            is RankedDecision.NoUpstream -> PlacementDecision.NoUpstream
+        }
+    }
+
+    private fun workOf(
+        demand: ForwardDemand,
+        engine: EngineProfile?,
+        placement: Placement,
+        known: KnownCandidates,
+        isShort: Boolean,
+    ): PlacedWork {
+        val engines = placement.helpers.map { it.upstream } + placement.upstream
+        return PlacedWork(
+            placement,
+            prefillMsOf(demand, engine, placement),
+            heldTokensOf(demand, placement),
+            isShortStream = demand.isStreaming && isShort,
+            queuedPrefillMs = engines.associate { it.id to known.workAt(it).pendingPrefillMs },
+            level = demand.rank?.level.takeIf { demand.isStreaming },
+            isLongPrompt = demand.size != null && !isShort,
+        )
+    }
+
     /** Whether one of [engines] is known to have unfinished prefills at [nowMs]. */
     fun isPrefilling(engines: List<UpstreamEntry>, nowMs: Long): Boolean {
         if (engines.any { loads.workAt(it, nowMs).pendingPrefillMs > 0 }) return true
@@ -80,20 +133,25 @@
         return engines.any { others.workAt(it).pendingPrefillMs > 0 }
     }
 
-    private fun placementOf(
-        demand: ForwardDemand,
-        engine: EngineProfile?,
-        views: List<UpstreamView>,
-        knownShare: Double,
-    ): Placement? {
+    private fun placementOf(demand: ForwardDemand, engine: EngineProfile?, candidates: KnownCandidates): Placement? {
         val size = demand.size
-        if (engine == null || size == null || demand.pauses == null) return rule.place(views)
-        return rule.place(PlacementDemand(size, demand.wait.targetMs, demand.pauses), engine, views, knownShare)
+        if (engine == null || size == null || demand.pauses == null) return rule.place(candidates)
+        val placed = PlacementDemand(size, demand.wait.targetMs, demand.pauses)
+        return rule.place(placed, engine, candidates, knownShare(candidates.others))
     }
 
-    private fun viewOf(entry: UpstreamEntry, others: PeerWork, nowMs: Long): UpstreamView {
-        val work = loads.workAt(entry, nowMs) + others.workAt(entry)
-        return UpstreamView(entry, work, loads.penaltyOf(entry, nowMs))
+    /** [upstreams] with the work that is known of them at [nowMs]. */
+    private inner class KnownCandidates(val upstreams: UpstreamList, val others: PeerWork, val nowMs: Long) :
+        PlacementCandidates {
+        override val size: Int get() = upstreams.size
+        override val shortStreams: Int get() = loads.shortStreamsAt(upstreams) + others.shortStreamsAt(upstreams)
+
+        override fun viewAt(index: Int): UpstreamView {
+            val entry = upstreams[index]
+            return UpstreamView(entry, workAt(entry), loads.penaltyOf(entry, nowMs))
+        }
+
+        fun workAt(entry: UpstreamEntry): UpstreamWork = loads.workAt(entry, nowMs) + others.workAt(entry)
     }
 
     // Share of the fleet's instances whose work is known, this one included; zero until the size of the fleet is known.
