Count calls to the store by purpose

Cause: each call to the store has a price, and it was unknown which calls make up the sum of a fleet.

Change: StoreClient names a purpose for each call (StoreCallPurpose) and counts it before it is sent, so refused and failed calls count as well. The sums are the metric godwitwick_store_calls_total and an info line at most once a minute.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -25,6 +25,8 @@
 /**
  * An instance that forwards requests along the routes of a platform's configuration. It is stateless: configuration and upstreams
  * are read from the platform's store.
+ *
+ * @param storeCalls counter of the calls to that store, which appears among the metrics.
  */
 class ForwardNode(
     private val settings: ForwardSettings,
@@ -33,8 +35,9 @@
     upstreamFeed: RecordFeed<UpstreamEntry>,
     registry: InstanceRegistry,
     quarantines: QuarantineStore,
+    storeCalls: StoreCalls = StoreCalls(),
 ) : AutoCloseable {
-    private val metrics = NodeMetrics()
+    private val metrics = NodeMetrics().also { storeCalls.register(it.registry) }
     private val control = ControlThread(metrics::controlQueueDelay)
     private val loads = UpstreamLoads()
     private val peerLoads = PeerLoads()
--- a/standins/src/main/kotlin/org/godwitwick/standins/platform/FakePlatformStore.kt
+++ b/standins/src/main/kotlin/org/godwitwick/standins/platform/FakePlatformStore.kt
@@ -10,8 +10,12 @@
 import java.util.Base64
 import java.util.concurrent.atomic.AtomicInteger
 
-/** Stand-in for the platform's store: keyed topics with one partition each, and one group. */
-class FakePlatformStore : AutoCloseable {
+/**
+ * Stand-in for the platform's store: keyed topics with one partition each, and one group.
+ *
+ * @param workers number of calls that are served at the same time, waiting reads included.
+ */
+class FakePlatformStore(private val workers: Int = WORKERS) : AutoCloseable {
     private class Record(val key: String, val value: ByteArray)
 
     private val lock = Object()
@@ -56,7 +60,7 @@
     /** Number of endless answers that have ended, normally because the caller closed the connection. */
     val endedEndlessAnswers = AtomicInteger()
     private val views = ArrayList<FakeServer>()
-    private val server = FakeServer(0, WORKERS) { handle(it) { value -> value } }
+    private val server = FakeServer(0, workers) { handle(it) { value -> value } }
 
     val address: String get() = server.address
 
@@ -84,7 +88,7 @@
 
     /** Opens a further address of this store, at which each value of the topic [topic] is what [rewrite] makes of it. */
     fun openView(topic: String, rewrite: (String) -> String): String {
-        val view = FakeServer(0, WORKERS) { exchange ->
+        val view = FakeServer(0, workers) { exchange ->
             handle(exchange) { if (exchange.query("topic") == topic) rewrite(it.decodeToString()).toByteArray() else it }
         }
         views += view
