Read the store by one active reader, with the other readers as standbys

Cause: each of the readers of a large fleet read both feeds. As upstreams renew their registrations all the time, reads of registrations return at once, so three readers made 18 of the 18.9 calls a second of 18 instances.

Change: one reader of twelve reads the store. The others ask it; their pulls are answered with each of its reads, also empty and failed ones, and they read the store when no newer proof comes within 5/16 of the bound. Registrations are read every quarter of the bound instead of every eighth. The shared secret is read once at the start instead of twice. Fleets of up to 12 instances read as before. Pulls and answers of feeds gain one optional field each; a standby does not rely on a reader of an earlier version.

FeedSourceSelectorTest took any reader as one that reads the store first; it now takes the active one, and standbys have a test of their own.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/FeedSource.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/FeedSource.kt
@@ -12,8 +12,9 @@
      *
      * @property mayLongPoll whether the reader may delay its answer until there are new records; a reader that has not yet given
      *   a fresh answer must answer immediately.
+     * @property isForStandby whether this instance is a reader that relies on the reads of [id] and would otherwise read the store.
      */
-    data class Reader(val id: InstanceId, val mayLongPoll: Boolean) : FeedSource
+    data class Reader(val id: InstanceId, val mayLongPoll: Boolean, val isForStandby: Boolean = false) : FeedSource
 
     /** No source may be read before [untilMs] on the steady clock. */
     data class None(val untilMs: Long) : FeedSource
@@ -24,8 +25,8 @@
  *
  * Handles readers that have crashed, are suspended or are cut off, and a store that refuses some or all instances. A follower
  * avoids a reader that does not answer or returns stale data for a while. If no reader is left, it reads the store itself, but
- * with long pauses after failures, so that a fleet without readers does not overload the store. A reader that the store refuses
- * asks the other readers.
+ * with long pauses after failures, so that a fleet without readers does not overload the store. A standby reader asks the readers
+ * ahead of it, and reads the store when none of them is usable. A reader that the store refuses asks the other readers.
  *
  * Not thread safe.
  */
@@ -36,15 +37,19 @@
 
     /** Returns the source to read at [nowMs] under [plan]. */
     fun next(plan: ReaderPlan, nowMs: Long): FeedSource {
+        plan.activeReadersFor(self).firstOrNull { isUsable(it, nowMs) }
+            ?.let { return FeedSource.Reader(it, mayLongPoll = it == verifiedReader, isForStandby = true) }
         if (plan.isReader(self) && nowMs >= storeRetryAtMs) return FeedSource.Store
         val sources = plan.sourcesOf(self, dataCentre)
-        val usable = sources.firstOrNull { (avoidedUntilMs[it] ?: Long.MIN_VALUE) <= nowMs }
+        val usable = sources.firstOrNull { isUsable(it, nowMs) }
         if (usable != null) return FeedSource.Reader(usable, mayLongPoll = usable == verifiedReader)
         if (nowMs >= storeRetryAtMs) return FeedSource.Store
         val readerRetryAtMs = sources.mapNotNull { avoidedUntilMs[it] }.minOrNull() ?: Long.MAX_VALUE
         return FeedSource.None(minOf(storeRetryAtMs, readerRetryAtMs))
     }
 
+    private fun isUsable(reader: InstanceId, nowMs: Long) = (avoidedUntilMs[reader] ?: Long.MIN_VALUE) <= nowMs
+
     /** Records that [reader] returned data that is recent enough. */
     fun onFreshAnswer(reader: InstanceId) {
         verifiedReader = reader
--- a/core/src/main/kotlin/org/godwitwick/core/forward/ReaderPlan.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/ReaderPlan.kt
@@ -9,7 +9,8 @@
  *
  * In a small fleet each instance reads the store itself. In a larger fleet only a few readers in each data centre do, and the
  * other instances (followers) ask them, so that calls to the store grow with the number of data centres instead of the number of
- * instances.
+ * instances. Most of the readers are standbys: they pass on what an active reader reads, and read the store themselves when they
+ * get no proof from it in time.
  *
  * @property readers the readers by data centre; empty if each instance reads the store itself.
  */
@@ -27,6 +28,25 @@
         return (inOrderOf(self, local) + inOrderOf(self, remote)).filter { it != self }
     }
 
+    /** The readers in the order in which they take on the reads of the store. */
+    private val order: List<InstanceId> by lazy {
+        readers.values.flatten().let { rendezvousLowest("active reader", it, it.size) }
+    }
+
+    /**
+     * The readers on whose reads of the store the reader [self] relies, in order of preference; empty if it is an active reader or
+     * not a reader. All instances should agree on it, but need not: a standby accepts only records that the other instance has read
+     * from the store itself.
+     */
+    fun activeReadersFor(self: InstanceId): List<InstanceId> {
+        val rank = order.indexOf(self)
+        val activeCount = ceil(order.size.toDouble() / READERS_PER_ACTIVE_READER).toInt()
+        if (rank < activeCount) return emptyList()
+        val active = order.take(activeCount)
+        val first = rank % activeCount
+        return (active.drop(first) + active.take(first) + order.subList(activeCount, rank)).take(MAX_READERS_AHEAD)
+    }
+
     private fun inOrderOf(self: InstanceId, ids: List<InstanceId>) = rendezvousLowest(self.value, ids, ids.size)
 
     companion object {
@@ -40,5 +60,11 @@
 
         /** Minimum number of readers in the fleet; two of them may fail at the same time. */
         private const val MIN_READERS = 3
+
+        /** Bounds the standbys that ask an active reader, beside the followers of its data centre. */
+        private const val READERS_PER_ACTIVE_READER = 12
+
+        /** A standby spends time on each reader that does not answer, and two of the minimum number of readers may fail. */
+        private const val MAX_READERS_AHEAD = 2
     }
 }
--- a/core/src/test/kotlin/org/godwitwick/core/forward/FeedSourceSelectorTest.kt
+++ b/core/src/test/kotlin/org/godwitwick/core/forward/FeedSourceSelectorTest.kt
@@ -15,6 +15,8 @@
     private val selector = FeedSourceSelector(follower, "dc-1")
     private val sources = plan.sourcesOf(follower, "dc-1")
 
+    private val readers = plan.readers.values.flatten()
+
     private fun next(nowMs: Long) = selector.next(plan, nowMs)
 
     private fun readerAt(nowMs: Long) = (next(nowMs) as FeedSource.Reader).id
@@ -63,14 +65,29 @@
     // Guards against valid keys being refused at a reader that the store refuses while it serves the other instances.
     @Test
     fun `a reader that the store refuses asks other readers and soon retries the store`() {
-        val reader = plan.readers.getValue("dc-1").first()
-        val selector = FeedSourceSelector(reader, "dc-1")
+        val reader = readers.first { plan.activeReadersFor(it).isEmpty() }
+        val selector = FeedSourceSelector(reader, fleet.getValue(reader))
         expectThat(selector.next(plan, 0)).isEqualTo(FeedSource.Store)
         selector.onStoreFailed(plan, nowMs = 0, draw = 0.0)
         expectThat(selector.next(plan, 1)).isA<FeedSource.Reader>().get { id }.isNotEqualTo(reader)
         expectThat(selector.next(plan, 400)).isEqualTo(FeedSource.Store)
     }
 
+    // Guards against standbys that all read the store at each of its reads, and against one that has no source when both readers ahead
+    // of it are lost.
+    @Test
+    fun `a standby asks the readers ahead of it and reads the store while both are avoided`() {
+        val standby = readers.single { plan.activeReadersFor(it).size == 2 }
+        val ahead = plan.activeReadersFor(standby)
+        val selector = FeedSourceSelector(standby, fleet.getValue(standby))
+        expectThat(selector.next(plan, 0)).isEqualTo(FeedSource.Reader(ahead[0], mayLongPoll = false, isForStandby = true))
+        selector.onNoAnswer(ahead[0], nowMs = 0)
+        expectThat(selector.next(plan, 1)).isEqualTo(FeedSource.Reader(ahead[1], mayLongPoll = false, isForStandby = true))
+        selector.onStaleAnswer(ahead[1], nowMs = 1)
+        expectThat(selector.next(plan, 2)).isEqualTo(FeedSource.Store)
+        expectThat(selector.next(plan, 401)).isEqualTo(FeedSource.Reader(ahead[1], mayLongPoll = false, isForStandby = true))
+    }
+
     @Test
     fun `an instance of a small fleet reads only the store`() {
         val direct = ReaderPlan.of(fleet.entries.take(6).associate { it.toPair() })
--- a/core/src/test/kotlin/org/godwitwick/core/forward/ReaderPlanTest.kt
+++ b/core/src/test/kotlin/org/godwitwick/core/forward/ReaderPlanTest.kt
@@ -5,6 +5,7 @@
 import strikt.api.expectThat
 import strikt.assertions.all
 import strikt.assertions.hasSize
+import strikt.assertions.isContainedIn
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
@@ -32,6 +33,20 @@
         expectThat(readers).isEqualTo(listOf(5, 36, 3, 3))
     }
 
+    // Guards against a fleet in which no reader reads the store, or more of them than needed do.
+    @Test
+    fun `one reader of a dozen reads the store for the others and each standby relies on it`() {
+        val ahead = listOf(18 to 3, 95 to 5, 520 to 36).map { (count, dataCentres) ->
+            val plan = ReaderPlan.of(fleet(count, dataCentres))
+            plan.readers.values.flatten().associateWith(plan::activeReadersFor)
+        }
+        expectThat(ahead.map { ofReaders -> ofReaders.values.count { it.isEmpty() } }).isEqualTo(listOf(1, 1, 3))
+        ahead.forEach { ofReaders ->
+            val active = ofReaders.filterValues { it.isEmpty() }.keys
+            expectThat(ofReaders.filterKeys { it !in active }.map { it.value.first() }).all { isContainedIn(active) }
+        }
+    }
+
     @Test
     fun `a follower asks the reader of its own data centre first`() {
         val fleet = fleet(95, 5)
--- a/node/src/main/kotlin/org/godwitwick/node/forward/FeedCache.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FeedCache.kt
@@ -30,6 +30,7 @@
     private var next: FeedPosition? = null
     private var provenAt: ClockReading? = null
     private var isFirstHand = false
+    private var passesProofs = false
     private var storeRecoveredAtMs: Long? = null
     private val waitingPulls = ArrayList<WaitingPull>()
 
@@ -40,15 +41,31 @@
             next = read.next
             provenAt = read.provenAt
             this.isFirstHand = isFirstHand
+            passesProofs = isFirstHand
             read.storeRecoveredAtMs?.let { storeRecoveredAtMs = it }
-            if (read.records.isEmpty() && read.storeRecoveredAtMs == null && !read.isSnapshot) return
-            // All waiting followers are at the same offset, so the records are encoded once.
-            val encoded = waitingPulls.firstOrNull()?.let { encodeFor(it.pull) }
-            waitingPulls.map { it.answer to answerTo(it, encoded) }.also { waitingPulls.clear() }
+            val isChange = read.records.isNotEmpty() || read.storeRecoveredAtMs != null || read.isSnapshot
+            takeAnswers { isChange || it.pull.awaitsProof }
         }
         answers.forEach { (future, answer) -> future.complete(answer) }
     }
 
+    /** Answers the pulls that wait for a proof after a read of the store has failed, because the asking readers shall read it. */
+    fun onStoreFailed() {
+        val answers = synchronized(this) {
+            passesProofs = false
+            takeAnswers { it.pull.awaitsProof }
+        }
+        answers.forEach { (future, answer) -> future.complete(answer) }
+    }
+
+    private fun takeAnswers(isDue: (WaitingPull) -> Boolean): List<Pair<CompletableFuture<FeedAnswer>, FeedAnswer>> {
+        val due = waitingPulls.filter(isDue)
+        waitingPulls.removeAll(due)
+        // All waiting followers are at the same offset, so the records are encoded once.
+        val encoded = due.firstOrNull()?.let { encodeFor(it.pull) }
+        return due.map { it.answer to answerTo(it, encoded) }
+    }
+
     private fun replace(records: List<StoredRecord>) {
         latestByKey.clear()
         recentRecords.clear()
@@ -69,7 +86,8 @@
     /** Answers [pull]: at once if there are newer records, otherwise with the next change or after the requested wait. */
     fun answer(pull: FeedPull): CompletableFuture<FeedAnswer> = synchronized(this) {
         val receivedAt = clock()
-        val mayWait = pull.holdMs > 0 && next == FeedPosition(pull.era, pull.fromOffset)
+        val mayWait =
+            pull.holdMs > 0 && next == FeedPosition(pull.era, pull.fromOffset) && (passesProofs || !pull.awaitsProof)
         val waiting = WaitingPull(pull, receivedAt, CompletableFuture())
         if (!mayWait) return CompletableFuture.completedFuture(answerTo(waiting, encodeFor(pull)))
         waitingPulls += waiting
@@ -107,6 +125,7 @@
             isFirstHand,
             regainedLeadMs?.takeIf { it > -UpstreamDirectory.REMOVAL_GRACE_MS },
             encoded.next.era,
+            passesProofs,
         )
     }
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/FeedPacings.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/FeedPacings.kt
@@ -16,19 +16,22 @@
         periodMs = CONFIG_PERIOD_MS,
         sharedWaitMs = minOf(revocationMs / 5, applyMs / 4),
         sharedPeriodMs = CONFIG_PERIOD_MS,
+        followerPeriodMs = CONFIG_PERIOD_MS,
         maxAgeMs = minOf(revocationMs * 2 / 5, applyMs * 3 / 8),
     )
 
     /**
      * The leaving of an upstream must be known within [leavingMs], which has to cover the same steps. It also covers
-     * a read on a connection that has become silent, which ends after its wait and the time for an answer, and another read.
+     * a read on a connection that has become silent, which ends after its wait and the time for an answer, and another read. Upstreams
+     * renew their registrations so often that a read of a large fleet rarely waits; its period is what limits the calls to the store.
      */
     fun ofUpstreams(leavingMs: Long) = FeedPacing(
         waitMs = leavingMs / 2,
         answerMs = leavingMs / 5,
         periodMs = leavingMs / 2,
         sharedWaitMs = leavingMs / 4,
-        sharedPeriodMs = leavingMs / 8,
+        sharedPeriodMs = leavingMs / 4,
+        followerPeriodMs = leavingMs / 8,
         maxAgeMs = leavingMs * 3 / 8,
     )
 }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
@@ -47,7 +47,6 @@
 
     @Volatile
     private var transport: PeerTransport? = null
-    private var isSecretKnown = false
     private var secretEra: Long? = null
     private val loadExchange = LoadExchange(self, loads, peerLoads) { to, message -> transport?.send(to, message) }
     private val quarantineExchange =
@@ -84,13 +83,11 @@
         guarded {
             if (transport == null) readSecret()
             fleet.refresh()
-            // A store that has returned from an older copy may have no secret or another one. Its era is known once this instance has
-            // registered, so that the secret read before is confirmed.
+            // A store that has returned from an older copy may have no secret or another one.
             val era = fleet.era
-            if (secretEra != era) {
+            if (era != null && secretEra != era) {
                 if (secretEra != null && fleet.plan.isReader(self.id)) onStoreRestored()
                 readSecret()
-                if (isSecretKnown) secretEra = era
             }
         }
         try {
@@ -101,12 +98,12 @@
     }
 
     private fun readSecret() {
-        isSecretKnown = false
         registry.sharedSecret(secret).fold(::onSecret) { log.warn("peer: no shared secret: {}", it.message) }
     }
 
-    private fun onSecret(stored: ByteArray) {
-        isSecretKnown = true
+    private fun onSecret(read: SharedSecret) {
+        val stored = read.bytes
+        secretEra = read.era
         if (transport != null && stored.contentEquals(secret)) return
         if (transport != null) log.warn("peer: the shared secret has changed; connecting to the other instances again")
         transport?.close()
--- a/node/src/main/kotlin/org/godwitwick/node/forward/InstanceRegistry.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/InstanceRegistry.kt
@@ -19,6 +19,9 @@
     override fun compareTo(other: FleetGeneration): Int = compareValuesBy(this, other, { it.era }, { it.number })
 }
 
+/** The secret that only the instances share, as read in [era] of the store. */
+class SharedSecret(val bytes: ByteArray, val era: Long)
+
 /** The platform's registry of instances. Used by one thread. */
 interface InstanceRegistry {
     /** Registers [self] or renews its registration for [ttlMs]. Returns the generation of the registered instances. */
@@ -28,5 +31,5 @@
     fun instances(): Result<List<RegisteredInstance>, FeedFailure>
 
     /** Reads the secret that only the instances share. If there is none, stores [known] or, if that is null, a new one. */
-    fun sharedSecret(known: ByteArray?): Result<ByteArray, FeedFailure>
+    fun sharedSecret(known: ByteArray?): Result<SharedSecret, FeedFailure>
 }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/SharedReader.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/SharedReader.kt
@@ -21,8 +21,11 @@
  * @property waitMs time for which a read of the store waits for records while every instance reads the store itself.
  * @property answerMs time after that wait within which the store must answer; otherwise the read is sent again on a new connection.
  * @property periodMs minimum time between the starts of two such reads, so that frequent records are read together.
- * @property sharedWaitMs wait of a reader on which other instances depend, and of a long poll of that reader.
- * @property sharedPeriodMs minimum time between two reads of a reader or of its followers.
+ * @property sharedWaitMs longest time between two proofs of a reader on which other instances depend, and wait of a long poll of
+ *   that reader.
+ * @property sharedPeriodMs minimum time between two reads of the store by a reader on which other instances depend; at most
+ *   [sharedWaitMs].
+ * @property followerPeriodMs minimum time between two pulls of a follower.
  * @property maxAgeMs age of a reader's records above which another reader is asked.
  */
 data class FeedPacing(
@@ -31,8 +34,19 @@
     val periodMs: Long,
     val sharedWaitMs: Long,
     val sharedPeriodMs: Long,
+    val followerPeriodMs: Long,
     val maxAgeMs: Long,
-)
+) {
+    /**
+     * Time after which a standby reads the store itself unless the active reader passes on a newer proof. An active reader has a proof
+     * every [sharedWaitMs]. The sum of this time and the time for an answer is at most [maxAgeMs] for bounds of two seconds and more,
+     * so that the standby's own followers stay with it when the active reader is lost.
+     */
+    val standbyHoldMs: Long get() = sharedWaitMs + standbyAnswerMs
+
+    /** Time for an answer of the active reader in addition to the long poll of a standby. */
+    val standbyAnswerMs: Long get() = sharedWaitMs / 4
+}
 
 /**
  * Reads a feed from the store or, in a large fleet, from an instance that reads the store, and caches the records for other
@@ -59,6 +73,7 @@
     private var lastSource: InstanceId? = null
     private var latestEra = 0L
     private var wasSilent = false
+    private var storeProofMs: Long? = null
 
     override fun read(from: FeedPosition?): Result<FeedRead, FeedFailure> {
         pauseUntil(nextReadMs)
@@ -69,7 +84,9 @@
                 is FeedSource.Store -> return readStore(plan, from, nowMs)
 
                 is FeedSource.Reader -> {
-                    nextReadMs = nowMs + pacing.sharedPeriodMs
+                    // The answer to a standby comes with the next read of the active reader, which keeps the period.
+                    nextReadMs =
+                        nowMs + pacing.followerPeriodMs.let { if (source.isForStandby) minOf(it, STANDBY_PERIOD_MS) else it }
                     askReader(source, from, plan.isReader(self))?.let { return Ok(it) }
                 }
 
@@ -87,12 +104,13 @@
             // Time was lost with readers that did not answer, and the connection to the store may be silent as well.
             lastSource != null -> 0
 
-            // A follower that exceptionally reads the store itself must soon be able to ask a reader again.
-            else -> pacing.sharedWaitMs
+            // The next proof is due, however long the period has delayed this read.
+            else -> (pacing.sharedWaitMs - (nowMs - (storeProofMs ?: nowMs))).coerceIn(0, pacing.sharedWaitMs)
         }
         return store.read(from, waitMs, pacing.answerMs).onOk { read ->
             sourceSelector.onStoreAnswered()
             wasSilent = false
+            storeProofMs = read.provenAt.steadyMs
             onSourceUsed(null, read)
             read.storeRecoveredAtMs?.let { lastRecoveryMs = it }
             cache.onRead(read, isFirstHand = true)
@@ -100,6 +118,7 @@
             // The next read may ask another instance, so it is not delayed by the period. The selector limits the rate of calls
             // to the store.
             nextReadMs = nowMs
+            if (failure !is FeedFailure.HistoryDropped) cache.onStoreFailed()
             if (mustPauseAfter(failure)) sourceSelector.onStoreFailed(plan, clock().steadyMs, random.nextDouble())
         }
     }
@@ -113,9 +132,15 @@
 
     private fun askReader(source: FeedSource.Reader, from: FeedPosition?, isReader: Boolean): FeedRead? {
         val askedAt = clock()
-        val holdMs = if (source.mayLongPoll) pacing.sharedWaitMs else 0
-        val pull = FeedPull(name, from?.offset ?: FeedCache.UNKNOWN_OFFSET, holdMs, from?.era ?: latestEra)
-        val answer = ask(source.id, pull, holdMs + ANSWER_TIMEOUT_MS)
+        val holdMs = when {
+            !source.mayLongPoll -> 0
+            source.isForStandby -> pacing.standbyHoldMs
+            else -> pacing.sharedWaitMs
+        }
+        val answerMs = if (holdMs > 0 && source.isForStandby) pacing.standbyAnswerMs else ANSWER_TIMEOUT_MS
+        val offset = from?.offset ?: FeedCache.UNKNOWN_OFFSET
+        val pull = FeedPull(name, offset, holdMs, from?.era ?: latestEra, awaitsProof = source.isForStandby)
+        val answer = ask(source.id, pull, holdMs + answerMs)
         val nowMs = clock().steadyMs
         if (answer == null) {
             log.info("feed: {} got no answer from the reader {} within {} ms", name, source.id, nowMs - askedAt.steadyMs)
@@ -126,7 +151,10 @@
         val ageMs = clock().maxElapsedMsSince(FeedFreshness.provenAt(askedAt, answer.provenLeadMs))
         // Otherwise readers that the store refuses could confirm stale records to each other in a circle.
         val isCircular = isReader && !answer.isFirstHand
-        if (read == null || isCircular || ageMs > pacing.maxAgeMs) {
+        // A reader of an earlier version answers a standby too late for the standby's own followers.
+        val passesProofs = answer.passesProofs || !source.isForStandby
+        val maxAgeMs = if (source.isForStandby) pacing.standbyHoldMs else pacing.maxAgeMs
+        if (read == null || isCircular || !passesProofs || ageMs > maxAgeMs) {
             if (lastSource == source.id) log.info("feed: {} of the reader {} is not used, {} ms old", name, source.id, ageMs)
             sourceSelector.onStaleAnswer(source.id, nowMs)
             return null
@@ -178,6 +206,9 @@
         /** Time for an answer in addition to the long poll; the latency between instances of a region is a few milliseconds. */
         const val ANSWER_TIMEOUT_MS = 300L
 
+        /** Bounds the pulls of a standby from an active reader that answers at once. */
+        const val STANDBY_PERIOD_MS = 50L
+
         /**
          * Readers call an unreachable store several times a second, so they notice its recovery within this time of each other.
          */
--- a/node/src/main/kotlin/org/godwitwick/node/peer/FeedMessages.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/FeedMessages.kt
@@ -11,6 +11,7 @@
  * @property fromOffset offset from which changes are requested, or -1 for the newest record of each key.
  * @property holdMs longest time for which the receiver may delay its answer while there are no new records.
  * @property era era of the store to which [fromOffset] belongs.
+ * @property awaitsProof whether the receiver shall also answer when it has read the store without finding new records, or has failed to.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -20,6 +21,7 @@
     @CborLabel(2) val fromOffset: Long,
     @CborLabel(3) val holdMs: Long,
     @CborLabel(4) val era: Long = 0,
+    @CborLabel(5) val awaitsProof: Boolean = false,
 ) : PeerMessage
 
 /**
@@ -34,6 +36,7 @@
  * @property regainedLeadMs time at which the store answered again after an outage, relative to the arrival of the request,
  *   or null if there was no recent outage.
  * @property era era of the store to which [nextOffset] belongs.
+ * @property passesProofs whether the instance's last read was one of the store that succeeded, and it honours [FeedPull.awaitsProof].
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -46,6 +49,7 @@
     @CborLabel(5) val isFirstHand: Boolean,
     @CborLabel(6) val regainedLeadMs: Long? = null,
     @CborLabel(7) val era: Long = 0,
+    @CborLabel(8) val passesProofs: Boolean = false,
 ) : PeerMessage
 
 /** Records of a feed; [keys] and [values] are parallel lists. An empty value removes its key. */
--- a/node/src/test/kotlin/org/godwitwick/node/forward/RegisteredFleetTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/RegisteredFleetTest.kt
@@ -31,7 +31,7 @@
                 return if (isDown) Err(FeedFailure.Unreachable("down")) else Ok(registered.values.toList())
             }
 
-            override fun sharedSecret(known: ByteArray?): Result<ByteArray, FeedFailure> = Ok(ByteArray(1))
+            override fun sharedSecret(known: ByteArray?): Result<SharedSecret, FeedFailure> = Ok(SharedSecret(ByteArray(1), era))
         }
 
         fun remove(id: InstanceId) {
--- a/node/src/test/kotlin/org/godwitwick/node/forward/SharedReaderTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/SharedReaderTest.kt
@@ -138,7 +138,15 @@
     private val dataCentres = (1..95).associate { InstanceId("entry-$it") to "dc-${it % 5}" }
     private var plan = ReaderPlan.of(dataCentres)
     private var pacing =
-        FeedPacing(waitMs = 0, answerMs = 400, periodMs = 500, sharedWaitMs = 0, sharedPeriodMs = 500, maxAgeMs = 2_000)
+        FeedPacing(
+            waitMs = 0,
+            answerMs = 400,
+            periodMs = 500,
+            sharedWaitMs = 0,
+            sharedPeriodMs = 500,
+            followerPeriodMs = 500,
+            maxAgeMs = 2_000,
+        )
     private val instances by lazy { dataCentres.mapValues { (id, dataCentre) -> Instance(id, dataCentre) } }
     private val dead = HashSet<InstanceId>()
     private var linksSilentUntilMs = 0L
