Lab: measure the processor time of a start by step

Cause: the processor time of a start on small machines was known only in total.

Change: lab starts runs the packaged jar with the command line of deploy/system.toml beside a stand-in of the store and prints the processor time until main, the first accepted connection, ready and after it, and by thread. It needs no change of the instance: the settings file is a pipe, which shows the moment at which main opens it.

--- a/lab/src/main/kotlin/org/godwitwick/lab/LabMain.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/LabMain.kt
@@ -5,6 +5,7 @@
 import org.godwitwick.lab.forward.ForwardExperimentCommand
 import org.godwitwick.lab.mixed.MixedFleetCommand
 import org.godwitwick.lab.slopes.SlopesCommand
+import org.godwitwick.lab.starts.StartsCommand
 import picocli.CommandLine
 import picocli.CommandLine.Command
 import kotlin.system.exitProcess
@@ -19,6 +20,7 @@
         SlopesCommand::class,
         ForwardExperimentCommand::class,
         MixedFleetCommand::class,
+        StartsCommand::class,
     ],
 )
 class LabCommand
