--- a/node/src/test/kotlin/org/godwitwick/node/forward/OccupiedPeerPortTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/OccupiedPeerPortTest.kt
@@ -18,7 +18,7 @@
 
         override fun instances() = Ok(emptyList<RegisteredInstance>())
 
-        override fun sharedSecret(known: ByteArray?) = Ok(ByteArray(32) { 7 })
+        override fun sharedSecret(known: ByteArray?) = Ok(SharedSecret(ByteArray(32) { 7 }, era = 1))
     }
 
     @Test
