--- a/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardExperimentCommand.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/forward/ForwardExperimentCommand.kt
@@ -19,6 +19,9 @@
     @Option(names = ["--seeds"], description = ["Number of seeds. Default: \${DEFAULT-VALUE}"])
     var seeds: Int = 3
 
+    @Option(names = ["--first-seed"], description = ["First of the seeds. Default: \${DEFAULT-VALUE}"])
+    var firstSeed: Long = 1
+
     @Option(names = ["--variants"], split = ",", description = ["Names of variants; all when left out."])
     var names: List<String> = emptyList()
 
@@ -38,7 +41,7 @@
     }
 
     private fun row(mix: ForwardMix, variant: PlacementVariant): String {
-        val models = (1L..seeds).map { ForwardFleetModel(mix, variant, it) }
+        val models = (firstSeed until firstSeed + seeds).map { ForwardFleetModel(mix, variant, it) }
         val requests = models.flatMap { it.run() }
         val phases = mix.phases.map { phase -> credit(requests.filter { it.arrivedMs / MS_PER_S in phase.fromS..phase.toS }) }
         val utilisation = percent(models.map { it.utilisation() }.average())
--- a/node/src/test/kotlin/org/godwitwick/node/forward/LoadExchangeTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/LoadExchangeTest.kt
@@ -1,5 +1,6 @@
 package org.godwitwick.node.forward
 
+import kotlinx.serialization.ExperimentalSerializationApi
 import org.godwitwick.core.forward.LoadExchangePlan
 import org.godwitwick.core.forward.Placement
 import org.godwitwick.core.forward.StreamLevels
@@ -7,6 +8,8 @@
 import org.godwitwick.core.forward.UpstreamWork
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.peer.ForwardLoad
+import org.godwitwick.node.peer.PeerMessage
+import org.godwitwick.node.peer.peerCbor
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.all
@@ -14,6 +17,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThanOrEqualTo
 
+@OptIn(ExperimentalSerializationApi::class)
 class LoadExchangeTest {
     private class Instance(val registered: RegisteredInstance, send: (InstanceId, ForwardLoad) -> Unit) {
         val loads = UpstreamLoads()
@@ -119,6 +123,18 @@
         expectThat(ForwardLoad.of(load.byUpstream(), 1_000).levels).isEmpty()
     }
 
+    // Guards against load reports that outgrow the budget for control traffic, 16 KB/s for an instance, by the streams by level.
+    @Test
+    fun `streams of three levels add at most three bytes to what a report says about an upstream on average`() {
+        fun bytes(levels: (Int) -> StreamLevels): Int {
+            val rows = (1..200).associateWith { UpstreamWork(300.0, 5, 4, 2, 90_000, levels(it)) }
+            return peerCbor.encodeToByteArray(PeerMessage.serializer(), ForwardLoad.of(rows, 1_000)).size
+        }
+        val countsOf = listOf(intArrayOf(5, 0, 0), intArrayOf(4, 1, 0), intArrayOf(0, 0, 1), intArrayOf(0, 2, 0))
+        val withLevels = bytes { i -> StreamLevels.of { countsOf[i % 4].getOrElse(it) { 0 } } }
+        expectThat(withLevels - bytes { StreamLevels.NONE }).isLessThanOrEqualTo(3 * 200 + 10)
+    }
+
     // Guards against a number of messages that grows with the square of the fleet size.
     @Test
     fun `a large fleet sends at most four messages per instance and round`() {
