--- a/core/src/main/kotlin/org/godwitwick/core/forward/RankedPlacementRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/RankedPlacementRule.kt
@@ -72,7 +72,7 @@
 
     private fun shortEngine(layout: RankedLayout, cost: (UpstreamView) -> Double): UpstreamView {
         // Other instances' latest placements are not known yet; a random sample keeps instances from choosing the same engine.
-        val best = sample(layout.shared.ifEmpty { layout.order }, settings.sampleSize).minBy(cost)
+        val best = sample(layout.shared.ifEmpty { layout.open }, settings.sampleSize).minBy(cost)
         if (cost(best) < LATE_COST_MS) return best
         // The first engine that is in time, because the best one would be the choice of all instances until the next report.
         val compared = sample(layout.open, settings.maxCompared).shuffled(random)
--- a/core/src/main/kotlin/org/godwitwick/core/forward/RankedPrefillRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/RankedPrefillRule.kt
@@ -39,7 +39,7 @@
         inTime.minByOrNull { it.stalled }?.let { return send(it, isLate = true) }
         if (forecast.partMs <= remainingMs) return RankedDecision.Wait(inputs(forecast, isLate = false))
         val leavesInMs = demand.wait.leavesAtMs - nowMs - settings.answerMs
-        if (forecast.partMs > leavesInMs) return RankedDecision.Reject(forecast.backlogMs.toLong())
+        if (forecast.partMs > leavesInMs) return RankedDecision.Reject((forecast.backlogMs + forecast.partMs).toLong())
         return lateChoice(choices, forecast, leavesInMs)?.let { send(it, isLate = true) }
             ?: RankedDecision.Wait(inputs(forecast, isLate = true))
     }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RankObserver.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RankObserver.kt
@@ -18,25 +18,14 @@
 
     private fun onSend(service: String, inputs: RankedInputs, work: PlacedWork) {
         metrics.recordRanked(service, inputs.level, if (inputs.isLate) "late" else "in-time")
-        // Short prompts are most of the load, and their placement is the usual one unless they are late.
-        if (work.isShortStream && !inputs.isLate) return
-        if (work.isShortStream) {
-            log.debug(
-                SENT,
-                requestId,
-                inputs.level,
-                1,
-                service,
-                describe(inputs),
-            )
-        } else {
-            logSent(service, inputs, work)
+        // Short prompts are most of the load, so they are logged only for a search for faults.
+        if (work.isLongPrompt) {
+            log.info(SENT, requestId, inputs.level, work.placement.helpers.size + 1, service, describe(inputs))
+        } else if (inputs.isLate) {
+            log.debug(SENT, requestId, inputs.level, 1, service, describe(inputs))
         }
     }
 
-    private fun logSent(service: String, inputs: RankedInputs, work: PlacedWork) =
-        log.info(SENT, requestId, inputs.level, work.placement.helpers.size + 1, service, describe(inputs))
-
     private fun onWait(service: String, inputs: RankedInputs) {
         if (hasWaited) return
         hasWaited = true
