Use held prefixes of prompts in placement where prompts are kept

With the setting prompts-kept-ms, an instance remembers which prefixes the upstreams have computed for its own requests and subtracts the prefill that a held one saves from the costs of its holder. It is zero by default and on the platform, where no prompt is kept; a placement then draws the same random numbers as before (KeptPromptsTest). What other instances have sent is not known yet.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/PlacementCandidates.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/PlacementCandidates.kt
@@ -13,8 +13,18 @@
 
     /** Builds the view of the upstream at [index], from 0 until [size]. */
     fun viewAt(index: Int): UpstreamView
+
+    /** The few upstreams that hold a prefix of the prompt, with what that saves; empty where no prompts are kept. */
+    fun holders(): List<PrefixHolder> = emptyList()
 }
 
+/**
+ * An upstream that holds a prefix of the prompt that is placed.
+ *
+ * @property savedMs expected prefill time that is saved there, in milliseconds.
+ */
+data class PrefixHolder(val view: UpstreamView, val savedMs: Double)
+
 /** Candidates that have been viewed already, in any order. */
 class ViewedCandidates(views: Collection<UpstreamView>) : PlacementCandidates {
     private val ordered = views.sortedWith { a, b -> UpstreamList.ORDER.compare(a.entry, b.entry) }
--- a/core/src/main/kotlin/org/godwitwick/core/forward/PlacementRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/PlacementRule.kt
@@ -46,10 +46,30 @@
             size.kvTokens > profile.kvCapacityTokens * settings.maxMemoryShare ->
                 placeSplit(demand, profile, Sample(candidates, sharedCount))
 
-            else -> placeLong(demand, profile, Sample(candidates, sharedCount))
+            else -> placeAtHolder(demand, profile, candidates) { placeLong(demand, profile, Sample(candidates, sharedCount)) }
         }
     }
 
+    // A holder computes the rest of the prompt alone, if its first event comes sooner than from the engines that would split the whole
+    // prompt, and no short stream there pauses for longer than its target.
+    private fun placeAtHolder(
+        demand: PlacementDemand,
+        profile: EngineProfile,
+        candidates: PlacementCandidates,
+        placeSplit: () -> Placement,
+    ): Placement {
+        val totalMs = profile.prefillMs(demand.size.promptTokens)
+        val holder = candidates.holders()
+            .filter { it.view.work.heldTokens + demand.size.kvTokens <= profile.kvCapacityTokens }
+            .filter { it.view.work.shortStreams == 0 || totalMs - it.savedMs <= demand.pauses.shortMs - profile.passMs }
+            .minByOrNull { waitMs(it.view) - it.savedMs }
+        val split = placeSplit()
+        if (holder == null) return split
+        val splitMs = totalMs / (split.helpers.size + 1)
+        val isSooner = waitMs(holder.view) + totalMs - holder.savedMs <= splitMs
+        return if (isSooner) Placement(holder.view.entry, emptyList()) else split
+    }
+
     /** Same as above for [candidates] that have been viewed already. */
     fun place(
         demand: PlacementDemand,
@@ -73,7 +93,10 @@
         val sharedBest = bestOfSample(profile, candidates, sharedCount)
         val overallBest = bestOfSample(profile, candidates, candidates.size)
         val isSharedBusy = shortCostMs(sharedBest, profile) > shortCostMs(overallBest, profile) + settings.switchMarginMs
-        return Placement((if (isSharedBusy) overallBest else sharedBest).entry, emptyList())
+        val chosen = if (isSharedBusy) overallBest else sharedBest
+        val holder = candidates.holders().minByOrNull { shortCostMs(it.view, profile) - it.savedMs }
+        val isHolderBetter = holder != null && shortCostMs(holder.view, profile) - holder.savedMs < shortCostMs(chosen, profile)
+        return Placement((if (isHolderBetter) holder.view else chosen).entry, emptyList())
     }
 
     // The best for a short request among some of the first [count] candidates.
@@ -163,6 +186,8 @@
         return costMs(view) + settings.queuedRequestMs * waiting
     }
 
+    private fun waitMs(view: UpstreamView): Double = view.work.pendingPrefillMs + view.penaltyMs
+
     private fun costMs(view: UpstreamView): Double =
         view.work.pendingPrefillMs + view.penaltyMs + settings.runningRequestMs * view.work.running
 
--- a/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamList.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/UpstreamList.kt
@@ -42,6 +42,10 @@
     fun where(isIncluded: (UpstreamEntry) -> Boolean): UpstreamList =
         withoutPositions(all.indices.filterNot { isIncluded(all[it]) })
 
+    /** The upstream whose process has the key [processKey], see [UpstreamEntry.processKey], or null if it is not in this list. */
+    fun find(processKey: String): UpstreamEntry? =
+        positionOfProcess(processKey)?.takeIf { excluded.binarySearch(it) < 0 }?.let { all[it] }
+
     /** This list without [entry]. */
     operator fun minus(entry: UpstreamEntry): UpstreamList = without(listOf(entry.processKey))
 
--- a/core/src/main/kotlin/org/godwitwick/core/prefix/HeldPrefixes.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/prefix/HeldPrefixes.kt
@@ -51,6 +51,13 @@
         if (held.size > maxPerUpstream) held.remove(held.minBy { it.value.usedAtMs }.key)
     }
 
+    /** Processes that are known to hold one of [prefixes] at [nowMs]; the holders of longer ones first, at most [limit]. */
+    fun holders(prefixes: List<PromptPrefix>, limit: Int, nowMs: Long): List<String> = entries.keys
+        .mapNotNull { upstream -> longestAt(upstream, prefixes, nowMs)?.let { upstream to it } }
+        .sortedWith(compareByDescending<Pair<String, HeldPrefix>> { it.second.prefix.tokens }.thenBy { it.second.ageMs })
+        .take(limit)
+        .map { it.first }
+
     /** The longest of [prefixes] that [upstream] is known to hold at [nowMs], or null if there is none. */
     fun longestAt(upstream: String, prefixes: List<PromptPrefix>, nowMs: Long): HeldPrefix? {
         val held = entries[upstream] ?: return null
--- a/node/src/main/kotlin/org/godwitwick/node/forward/AttemptAnswer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/AttemptAnswer.kt
@@ -38,6 +38,7 @@
                 throw MalformedAnswerException("the stream has no event and no end")
             }
             progress?.onPrefillDone()
+            if (progress != null) context.keptPrompts?.onComputed(upstream.processKey, state.request.prefixes, Clocks.steadyMs())
             state.streamReceipt = open.receipt
             state.eventGapTimeoutMs = context.streamTimeouts.eventGapTimeoutMs(route, state.counts.mayHaveRun)
             guard.restartSilenceTimer(state.eventGapTimeoutMs, Clocks.steadyMs())
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
@@ -32,5 +32,6 @@
     val relayHeaders: RelayHeaders,
     val onLongPromptPlaced: () -> Unit,
     val bodyMemory: BodyMemory,
+    val keptPrompts: KeptPrompts?,
     val regions: Regions,
 )
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMessages.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMessages.kt
@@ -3,6 +3,7 @@
 import org.godwitwick.core.forward.RequestSize
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.model.OrganisationId
+import org.godwitwick.core.prefix.PromptPrefix
 
 /**
  * A decoded request of a caller.
@@ -13,6 +14,7 @@
  * @property sharedParts ids of the parts of the prompt that other requests may have as well; its own last part is left out.
  * @property lastEventId id of the last event of an earlier stream that the caller continues, or null.
  * @property headers headers that are forwarded unchanged.
+ * @property prefixes beginnings of the prompt up to each of [sharedParts], shortest first.
  * @property hop how it came through another instance, or null if it came from its caller.
  */
 data class CallerRequest(
@@ -27,6 +29,7 @@
     val lastEventId: Long?,
     val headers: List<Pair<String, String>>,
     val hop: RelayHop? = null,
+    val prefixes: List<PromptPrefix> = emptyList(),
 ) {
     /** The path without the query. */
     val path: String get() = target.substringBefore('?')
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -41,6 +41,7 @@
     private val metrics = NodeMetrics().also { storeCalls.register(it.registry) }
     private val control = ControlThread(metrics::controlQueueDelay)
     private val loads = UpstreamLoads()
+    private val keptPrompts = settings.promptsKeptMs.takeIf { it > 0 }?.let(::KeptPrompts)
     private val peerLoads = PeerLoads()
     private val self = RegisteredInstance(
         InstanceId(settings.instanceName),
@@ -76,7 +77,13 @@
         dialect = dialect,
         fleetView = fleetView,
         admission = ForwardAdmission(freshness),
-        placer = WorkPlacer(PlacementRule(Random.Default), loads, peerLoads, peers.fleet::instanceCount),
+        placer = WorkPlacer(
+            PlacementRule(Random.Default),
+            loads,
+            peerLoads,
+            peers.fleet::instanceCount,
+            keptPrompts = keptPrompts,
+        ),
         streamTimeouts = StreamTimeoutRule(settings.stallMs),
         client = client,
         reservations = reservations,
@@ -104,6 +111,7 @@
         relayHeaders = relayHeaders,
         onLongPromptPlaced = peers::sendLoadSoon,
         bodyMemory = BodyMemory(settings.bodyMemoryBytes, Clocks::steadyMs).also { it.register(metrics.registry) },
+        keptPrompts = keptPrompts,
         regions = settings.regions,
     )
     private val configFollower =
@@ -150,6 +158,7 @@
 
     /** Starts to serve callers, and to follow the store. */
     fun start() {
+        if (keptPrompts != null) control.every(KEPT_PROMPTS_PERIOD_MS) { forgetLostPrompts(keptPrompts) }
         configFollower.start()
         upstreamFollower.start()
         quarantineKeeper.start()
@@ -174,6 +183,11 @@
         log.info("stop: {} exchanges have no answer", remaining)
     }
 
+    private fun forgetLostPrompts(kept: KeptPrompts) {
+        val processes = fleetView.upstreams.values.flatMapTo(HashSet()) { list -> list.map { it.processKey } }
+        kept.retain(processes, Clocks.steadyMs())
+    }
+
     private fun <T> follower(name: String, feed: RecordFeed<T>, pacing: FeedPacing, listener: FeedListener<T>): FeedFollower<T> {
         val reader = SharedReader(
             name,
@@ -231,6 +245,9 @@
         /** A third of the requests in flight, so that waiting ones never keep short requests out. */
         const val MAX_WAITING = 50
         const val OPERATION_THREADS = 2
+
+        /** Only bounds the memory; what has ended is not used in any case. */
+        const val KEPT_PROMPTS_PERIOD_MS = 5_000L
         const val MAX_HEADER_BYTES = 64 * 1024
 
         /** Longer than the idle and header timeouts that callers are promised, so that no caller is cut off early. */
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardSettings.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardSettings.kt
@@ -26,6 +26,7 @@
  * @property bodyMemoryBytes memory that the bodies of requests and of buffered answers may use at once.
  * @property coldBound bound on what a cold upstream gets from all instances together.
  * @property regions regions of the data centres.
+ * @property promptsKeptMs time for which upstreams keep a prompt after its request; zero if they keep none.
  */
 data class ForwardSettings(
     val instanceName: String,
@@ -52,4 +53,5 @@
     val evacuationMs: Long = 5_000,
     val coldBound: ColdBound = ColdBound(),
     val regions: Regions = Regions(),
+    val promptsKeptMs: Long = 0,
 )
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
@@ -39,7 +39,7 @@
         if (open.isEmpty() && known.isNotEmpty()) return PlacementDecision.Limited(context.statements.waitsMs(known))
         val pauses = context.fleetView.routing.table?.pauseTargetsOf(serviceName)
         val isStreaming = target.route.kind is RouteKind.Streaming
-        val demand = ForwardDemand(request.size, wait, isStreaming, pauses, rankAt(serviceName, target))
+        val demand = ForwardDemand(request.size, wait, isStreaming, pauses, rankAt(serviceName, target), request.prefixes)
         return placeOn(open.without(triedProcesses).ifEmpty { open }, demand, service)
     }
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
@@ -10,6 +10,7 @@
 import org.godwitwick.core.forward.PrefillForecast
 import org.godwitwick.core.forward.PrefillStart
 import org.godwitwick.core.forward.PrefillStartRule
+import org.godwitwick.core.forward.PrefixHolder
 import org.godwitwick.core.forward.RankedDecision
 import org.godwitwick.core.forward.RankedDemand
 import org.godwitwick.core.forward.RankedInputs
@@ -20,6 +21,7 @@
 import org.godwitwick.core.forward.UpstreamList
 import org.godwitwick.core.forward.UpstreamView
 import org.godwitwick.core.forward.UpstreamWork
+import org.godwitwick.core.prefix.PromptPrefix
 import kotlin.random.Random
 
 /**
@@ -29,6 +31,7 @@
  * @property wait the caller's wait for the answer, or for the next event of a stream.
  * @property pauses the longest allowed pauses of the service's streams, or null if it has none.
  * @property rank rank of the request, or null if the service is not contended by rank.
+ * @property prefixes beginnings of the prompt that other prompts may have as well, shortest first.
  */
 data class ForwardDemand(
     val size: RequestSize?,
@@ -36,6 +39,7 @@
     val isStreaming: Boolean,
     val pauses: PauseTargets?,
     val rank: StatedRank? = null,
+    val prefixes: List<PromptPrefix> = emptyList(),
 )
 
 /** Decision on a [ForwardDemand]. */
@@ -60,6 +64,7 @@
  * Places requests by the work that this instance has sent and that the other instances have reported.
  *
  * @param instanceCount returns the number of instances of the fleet, or null until it is known.
+ * @param keptPrompts what the upstreams hold of earlier prompts, or null if they keep none.
  */
 class WorkPlacer(
     private val rule: PlacementRule,
@@ -68,10 +73,11 @@
     private val instanceCount: () -> Int?,
     private val startRule: PrefillStartRule = PrefillStartRule(),
     private val rankedRule: RankedPlacementRule = RankedPlacementRule(Random.Default),
+    private val keptPrompts: KeptPrompts? = null,
 ) {
     /** Places [demand] on some of [candidates]. [engine] is null for plain services. */
     fun place(demand: ForwardDemand, engine: EngineProfile?, candidates: UpstreamList, nowMs: Long): PlacementDecision {
-        val known = KnownCandidates(candidates, peerLoads.at(nowMs), nowMs)
+        val known = KnownCandidates(candidates, peerLoads.at(nowMs), nowMs, demand, engine)
         if (demand.rank != null && demand.size != null && engine != null) {
             return placeRanked(demand, RankedDemand(demand.size, demand.wait, demand.rank), engine, known)
         }
@@ -141,16 +147,25 @@
     }
 
     /** [upstreams] with the work that is known of them at [nowMs]. */
-    private inner class KnownCandidates(val upstreams: UpstreamList, val others: PeerWork, val nowMs: Long) :
-        PlacementCandidates {
+    private inner class KnownCandidates(
+        val upstreams: UpstreamList,
+        val others: PeerWork,
+        val nowMs: Long,
+        private val demand: ForwardDemand,
+        private val engine: EngineProfile?,
+    ) : PlacementCandidates {
         override val size: Int get() = upstreams.size
         override val shortStreams: Int get() = loads.shortStreamsAt(upstreams) + others.shortStreamsAt(upstreams)
 
-        override fun viewAt(index: Int): UpstreamView {
-            val entry = upstreams[index]
-            return UpstreamView(entry, workAt(entry), loads.penaltyOf(entry, nowMs))
+        override fun viewAt(index: Int): UpstreamView = viewOf(upstreams[index])
+
+        override fun holders(): List<PrefixHolder> {
+            if (keptPrompts == null || engine == null || demand.size == null) return emptyList()
+            return keptPrompts.holders(demand.prefixes, demand.size.kvTokens, engine, nowMs) { upstreams.find(it)?.let(::viewOf) }
         }
 
+        private fun viewOf(entry: UpstreamEntry) = UpstreamView(entry, workAt(entry), loads.penaltyOf(entry, nowMs))
+
         fun workAt(entry: UpstreamEntry): UpstreamWork = loads.workAt(entry, nowMs) + others.workAt(entry)
     }
 
