--- a/lab/src/main/kotlin/org/godwitwick/lab/starts/MeasuredStart.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/starts/MeasuredStart.kt
@@ -41,10 +41,11 @@
         private const val NS_PER_MS = 1e6
         private const val POLL_MS = 5L
         private const val SETTLING_MS = 2_000L
+        private const val STOP_LIMIT_MS = 10_000L
         private const val START_LIMIT_MS = 60_000L
 
-        /** Starts an instance beside a stand-in of the store with one upstream, and stops it. */
-        fun run(): MeasuredStart = FakePlatformStore().use { store ->
+        /** Starts an instance beside a stand-in of the store with one upstream, and stops it. The JVM also gets [flags]. */
+        fun run(vararg flags: String): MeasuredStart = FakePlatformStore().use { store ->
             store.put("keyed.op", "config", platformConfig(1, mapOf("caterer" to listOf("key-1"))))
             store.put("keyed.servers", "u1", upstreamRegistration("desk", "127.0.0.1:1"))
             val ports = InstancePorts.free()
@@ -52,7 +53,7 @@
             // A pipe, so that the moment at which main opens the file is known without a change to the process.
             val pipe = Files.createTempDirectory("starts").resolve("settings.json")
             check(ProcessBuilder("mkfifo", pipe.toString()).start().waitFor() == 0) { "mkfifo failed" }
-            val builder = ProcessBuilder(commandLine()).redirectErrorStream(true)
+            val builder = ProcessBuilder(commandLine().let { it.take(1) + flags + it.drop(1) }).redirectErrorStream(true)
                 .redirectOutput(File("target/platform/starts.log"))
             builder.environment()["GODWITWICK_SETTINGS"] = pipe.toString()
             val process = builder.start()
@@ -85,6 +86,7 @@
             process.destroy()
             Thread.sleep(SETTLING_MS)
             note(StartStep.STOPPED_SERVING)
+            check(process.waitFor(STOP_LIMIT_MS, TimeUnit.MILLISECONDS)) { "the instance did not stop" }
             return MeasuredStart(processorMs, threadMs.toList().sortedByDescending { it.second })
         }
 
--- a/lab/src/main/kotlin/org/godwitwick/lab/starts/StartsCommand.kt
+++ b/lab/src/main/kotlin/org/godwitwick/lab/starts/StartsCommand.kt
@@ -16,7 +16,17 @@
     @Option(names = ["--threads"], description = ["Also print the processor time by thread name of the last start."])
     private var printsThreads = false
 
+    @Option(
+        names = ["--class-list"],
+        description = ["Write the classes that an instance loads to this file, and measure nothing."],
+    )
+    private var classList: String? = null
+
     override fun call(): Int {
+        classList?.let {
+            MeasuredStart.run("-XX:DumpLoadedClassList=$it")
+            return 0
+        }
         val starts = List(runs) { MeasuredStart.run() }
         println("| step | processor ms, median | least | most |")
         println("| --- | --- | --- | --- |")
