Order waiting long prompts by rank and organisation

Long prompts that had to wait polled every 20 to 40 ms without an order, so an organisation that sent most of a burst of long prompts also got most of the engines. Where the service is contended by rank, they now wait in a queue ordered by level of rank, by how far the organisation is above its share of the fleet's recent prefill work, and by the time of the target. The first one is placed again when a request or a prefill of this instance ends, when a prompt that waited is placed, when one arrives behind others, or when a report shows less work; a timer of 100 ms covers the rest. Later ones use only engines that are not kept for those ahead. A full queue refuses the last in order.

Recent work by organisation travels in two optional fields of the load message, for at most 32 organisations, and through the totals of collectors. Elsewhere the waits, their bound and their timing are unchanged and the messages have no new field.

--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
@@ -22,6 +22,7 @@
     val loads: UpstreamLoads,
     val budgets: RetryBudgets,
     val prefillQueue: PrefillQueue,
+    val shares: PrefillShares,
     val crashGuard: CrashGuard,
     val statements: UpstreamStatements,
     val metrics: ForwardMetrics,
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -37,7 +37,10 @@
     private val metrics = NodeMetrics()
     private val control = ControlThread(metrics::controlQueueDelay)
     private val loads = UpstreamLoads()
-    private val peerLoads = PeerLoads()
+    private val peerLoads: PeerLoads = PeerLoads { shares.queue.onReport() }
+    private val prefillQueue = PrefillQueue(MAX_WAITING)
+    private val shares: PrefillShares =
+        PrefillShares(prefillQueue, FleetRecentWork(peerLoads), metrics.registry, Clocks::steadyMs, Random.Default)
     private val self = RegisteredInstance(
         InstanceId(settings.instanceName),
         settings.dataCentre,
@@ -47,7 +50,9 @@
     private val caches = listOf(CONFIG_FEED, UPSTREAM_FEED).associateWith { FeedCache(Clocks::read) }
     private val crashGuard = CrashGuard(Clocks::steadyMs, { quarantineKeeper.save() }) { rows -> peers.sendQuarantine(rows) }
     private val peers: ForwardPeers =
-        ForwardPeers(self, registry, loads, peerLoads, caches, crashGuard, { statements.onRow(it) }, { quarantineKeeper.save() })
+        ForwardPeers(self, registry, loads, peerLoads, shares.work::own, caches, crashGuard, {
+            statements.onRow(it)
+        }, { quarantineKeeper.save() })
     private val quarantineKeeper: QuarantineKeeper =
         QuarantineKeeper(quarantines, crashGuard::lastingRows, { crashGuard.onRows("the store", it) })
     private val statements =
@@ -80,7 +85,8 @@
             { reserveShareOf(settings.retryReserve, peers.fleet.largestCount) },
             settings.retryWindowMs + settings.retryWindowMs / RETRY_WINDOW_SLOTS,
         ),
-        prefillQueue = PrefillQueue(MAX_WAITING),
+        prefillQueue = prefillQueue,
+        shares = shares,
         crashGuard = crashGuard,
         statements = statements,
         metrics = ForwardMetrics(
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardPeers.kt
@@ -27,6 +27,7 @@
  * Finds the other instances through the registry, exchanges loads and observations of crashes with them, and answers their pulls
  * of the store's feeds.
  *
+ * @param recentWork returns the recent work of this instance by organisation, in milliseconds, at a monotonic time.
  * @param caches cache of each feed, by the feed's name.
  * @param onStatement called with what an upstream stated about itself to another instance.
  * @param onStoreRestored called when the store has returned from an older copy and this instance is to write again what the fleet
@@ -37,6 +38,7 @@
     private val registry: InstanceRegistry,
     loads: UpstreamLoads,
     private val peerLoads: PeerLoads,
+    recentWork: (nowMs: Long) -> Map<Int, Double>,
     private val caches: Map<String, FeedCache>,
     private val crashGuard: CrashGuard,
     private val onStatement: (StatementRow) -> Unit,
@@ -49,7 +51,7 @@
     private var transport: PeerTransport? = null
     private var isSecretKnown = false
     private var secretEra: Long? = null
-    private val loadExchange = LoadExchange(self, loads, peerLoads) { to, message -> transport?.send(to, message) }
+    private val loadExchange = LoadExchange(self, loads, peerLoads, recentWork) { to, message -> transport?.send(to, message) }
     private val quarantineExchange =
         QuarantineExchange(crashGuard::lastingRows, Random.Default) { to, message -> transport?.send(to, message) }
     private val isSendScheduled = AtomicBoolean()
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardRun.kt
@@ -37,7 +37,7 @@
         while (outcome == null) outcome = nextAttempt(lastEventId)
         outcome
     } finally {
-        state.turn.end(state.elapsedMs())
+        state.endTurns()
     }
 
     // Returns null if the request is to be placed again.
--- a/node/src/main/kotlin/org/godwitwick/node/forward/PeerLoads.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/PeerLoads.kt
@@ -7,8 +7,12 @@
 import org.godwitwick.node.peer.LoadScope
 import java.util.concurrent.ConcurrentHashMap
 
-/** The work of the other instances, from the last report of each instance or from the totals that collectors report. */
-class PeerLoads {
+/**
+ * The work of the other instances, from the last report of each instance or from the totals that collectors report.
+ *
+ * @param onLessWork called after a report that shows less work than the one before.
+ */
+class PeerLoads(private val onLessWork: () -> Unit = {}) {
     private class Report(val load: ForwardLoad, val atMs: Long, val work: Map<Int, UpstreamWork>)
 
     private val instanceReports = ConcurrentHashMap<InstanceId, Report>()
@@ -23,7 +27,13 @@
     }
 
     private fun <K : Any> ConcurrentHashMap<K, Report>.replaceIfNewer(key: K, load: ForwardLoad, nowMs: Long) {
-        compute(key) { _, last -> last?.takeIf { it.load.isNewerThan(load) } ?: Report(load, nowMs, load.byUpstream()) }
+        var showsLess = false
+        compute(key) { _, last ->
+            if (last != null && last.load.isNewerThan(load)) return@compute last
+            showsLess = last != null && load.showsLessThan(last.load)
+            Report(load, nowMs, load.byUpstream())
+        }
+        if (showsLess) onLessWork()
     }
 
     /** Work of all other instances at [nowMs]. Reports older than [MAX_AGE_MS] do not count. */
@@ -32,11 +42,14 @@
         return PeerWork(sum(sources.map { it.work }), sources.sumOf { it.load.instances })
     }
 
+    /** Recent work of all other instances by organisation, in milliseconds, from the reports that count at [nowMs]. */
+    fun recentWork(nowMs: Long): Map<Int, Double> = sumOfWork(sources(nowMs).map { it.load.recentWork() })
+
     /** Time since the last report of [instance], in milliseconds, or null if there was none. */
     fun silentMs(instance: InstanceId, nowMs: Long): Long? = instanceReports[instance]?.let { nowMs - it.atMs }
 
-    /** Totals of the recent reports to this collector and of its [own] work. */
-    fun totals(own: Map<Int, UpstreamWork>, nowMs: Long): LoadTotals {
+    /** Totals of the recent reports to this collector, of its [own] work and of its [ownRecentWork] by organisation. */
+    fun totals(own: Map<Int, UpstreamWork>, nowMs: Long, ownRecentWork: Map<Int, Double> = emptyMap()): LoadTotals {
         val fresh = instanceReports.filterValues { it.isFresh(nowMs) }.mapValues { it.value.work }
         val remote = dataCentreReports.values.filter { it.isFresh(nowMs) }
         return LoadTotals(
@@ -44,6 +57,11 @@
             instanceReports = fresh,
             remote = sum(remote.map { it.work }),
             remoteInstances = remote.sumOf { it.load.instances },
+            recentWork = RecentWorkTotals(
+                ownRecentWork,
+                instanceReports.filterValues { it.isFresh(nowMs) }.mapValues { it.value.load.recentWork() },
+                remote.map { it.load.recentWork() },
+            ),
         )
     }
 
@@ -84,25 +102,27 @@
  * @property instanceReports work of each other instance in the collector's data centre.
  * @property remote work of the other data centres.
  * @property remoteInstances number of instances whose work [remote] covers.
+ * @property recentWork recent work by organisation of the same instances.
  */
 class LoadTotals(
     private val local: Map<Int, UpstreamWork>,
     private val instanceReports: Map<InstanceId, Map<Int, UpstreamWork>>,
     private val remote: Map<Int, UpstreamWork>,
     private val remoteInstances: Int,
+    private val recentWork: RecentWorkTotals,
 ) {
     private val total = sum(listOf(local, remote))
 
     /** Builds the message to the collectors of other data centres: the work of [dataCentre], which is this collector's. */
     fun ofDataCentre(dataCentre: String, wallMs: Long): ForwardLoad =
-        ForwardLoad.of(local, wallMs, instanceReports.size + 1, LoadScope.DATA_CENTRE, dataCentre)
+        ForwardLoad.of(local, wallMs, instanceReports.size + 1, LoadScope.DATA_CENTRE, dataCentre, recentWork.ofDataCentre())
 
     /** Builds the message to [receiver], an instance of this data centre: the work of the fleet without that of the receiver. */
     fun except(receiver: InstanceId, wallMs: Long): ForwardLoad {
         val all = HashMap(total)
         instanceReports[receiver]?.forEach { (key, own) -> all.computeIfPresent(key) { _, work -> work - own } }
         val instances = instanceReports.keys.count { it != receiver } + 1 + remoteInstances
-        return ForwardLoad.of(all, wallMs, instances, LoadScope.FLEET)
+        return ForwardLoad.of(all, wallMs, instances, LoadScope.FLEET, recentWork = recentWork.except(receiver))
     }
 }
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RelayedAttempt.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RelayedAttempt.kt
@@ -12,7 +12,7 @@
 
     /** Sends the request through [peer]; returns null if it is to be placed again, or sent through another instance. */
     fun run(peer: RegisteredInstance, route: ForwardRoute, lastEventId: Long?): RunOutcome? {
-        state.turn.end(state.elapsedMs())
+        state.endTurns()
         val hop = RelayHop(route.maxRuns - state.counts.mayHaveRun, isCounted = state.service != null)
         val call = RelayCall(state.request, peer, state.remainingMs(), lastEventId, hop)
         val relayed = context.client.relay(call, state.body, needsNewConnection = !route.kind.isIdempotent, guard) { sent ->
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
@@ -3,8 +3,10 @@
 import org.godwitwick.core.forward.CallerWait
 import org.godwitwick.core.forward.ForwardRoute
 import org.godwitwick.core.forward.ForwardService
+import org.godwitwick.core.forward.PrefillForecast
 import org.godwitwick.core.forward.RouteKind
 import org.godwitwick.core.forward.UpstreamEntry
+import org.godwitwick.core.model.InstanceId
 
 /** Chooses the upstream for each send of one request, preferring those not tried before. Used by one thread. */
 class RequestPlacer(private val context: ForwardContext, private val request: CallerRequest) {
@@ -28,14 +30,42 @@
     fun presentAt(serviceName: String): List<UpstreamEntry> =
         context.statements.present(context.fleetView.upstreams[serviceName].orEmpty())
 
-    /** Places the request at the service called [serviceName], for a caller that has waited as [wait] says. */
-    fun place(service: ForwardService?, serviceName: String, route: ForwardRoute, wait: CallerWait): PlacementDecision {
+    /**
+     * Places the request at the service called [serviceName], for a caller that has waited as [wait] says.
+     *
+     * @param kept engines that are kept for requests ahead of this one.
+     */
+    fun place(
+        service: ForwardService?,
+        serviceName: String,
+        route: ForwardRoute,
+        wait: CallerWait,
+        kept: Set<InstanceId> = emptySet(),
+    ): PlacementDecision {
         val known = presentAt(serviceName).filter { it.address !in avoided }
         val open = openOf(known)
         if (open.isEmpty() && known.isNotEmpty()) return PlacementDecision.Limited(context.statements.earliestMs(known))
         val pauses = context.fleetView.routing.table?.pauseTargetsOf(serviceName)
         val demand = ForwardDemand(request.size, wait, route.kind is RouteKind.Streaming, pauses)
-        return placeOn(open.filterNot(::wasTried).ifEmpty { open }, demand, service)
+        val candidates = open.filterNot(::wasTried).ifEmpty { open }
+        return if (kept.isEmpty()) placeOn(candidates, demand, service) else placeBeside(kept, candidates, demand, service)
+    }
+
+    // Sends the request only if it can begin without the engines in [kept]; otherwise it waits for those that it would get if none were
+    // kept, so that it is rejected only if these cannot answer it in time either.
+    private fun placeBeside(
+        kept: Set<InstanceId>,
+        candidates: List<UpstreamEntry>,
+        demand: ForwardDemand,
+        service: ForwardService?,
+    ): PlacementDecision {
+        val free = candidates.filterNot { it.id in kept }
+        if (free.isNotEmpty()) placeOn(free, demand, service).let { if (it is PlacementDecision.Send) return it }
+        val decision = context.placer.place(demand, service?.engine, candidates, Clocks.steadyMs())
+        if (decision !is PlacementDecision.Send) return decision
+        val queuedMs = decision.work.queuedPrefillMs
+        val forecast = PrefillForecast(decision.work.prefillMs, queuedMs.values.maxOrNull() ?: 0.0)
+        return PlacementDecision.Wait(forecast, queuedMs.keys)
     }
 
     // The helpers of a long prompt take load as well, so it is placed on upstreams without a limit where there are some.
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunFailures.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunFailures.kt
@@ -33,6 +33,16 @@
         retryAfterMs = (maxOf(retryAfterMs ?: 0, MIN_BACKLOG_RETRY_MS) * (1 + draw)).toLong(),
     )
 
+    /**
+     * Other requests that wait go before this one and there is no place for more. Those that wait have done so for up to
+     * [longestWaitMs]. [draw] is a random number in [0, 1) by which the returns of the callers are spread.
+     */
+    fun queueFull(longestWaitMs: Long, backlogMs: Long, draw: Double) = Failure(
+        ErrorKind.OVERLOADED,
+        "other requests with long prompts wait before this one, and no more can wait",
+        retryAfterMs = (maxOf(longestWaitMs, backlogMs, MIN_BACKLOG_RETRY_MS) * (1 + draw)).toLong(),
+    )
+
     /** No upstream can take the request; [hasUpstream] tells whether its service has any that is not leaving. */
     fun noPlacement(hasUpstream: Boolean): Failure {
         if (hasUpstream) {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunGuard.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunGuard.kt
@@ -28,6 +28,7 @@
     private var silencePolicy: SilencePolicy? = null
     private val silence = SilenceTimer()
     private val cancelled = CountDownLatch(1)
+    private var onCancelled: () -> Unit = {}
 
     /** Why the current send or the whole request was cancelled, or null if it was not. */
     @Volatile
@@ -82,14 +83,27 @@
     /** Waits for [ms], or until the request is cancelled; returns whether it may go on. */
     fun pause(ms: Long): Boolean {
         cancelled.await(ms, TimeUnit.MILLISECONDS)
-        return cancelReason.let { it == null || it == CancelReason.SILENCE }
+        return mayGoOn
+    }
+
+    /** Whether the whole request was not cancelled. */
+    val mayGoOn: Boolean get() = cancelReason.let { it == null || it == CancelReason.SILENCE }
+
+    /** Calls [listener], in place of an earlier one, when the whole request is cancelled; at once if it was. Must not block. */
+    @Synchronized
+    fun onCancelled(listener: () -> Unit) {
+        onCancelled = listener
+        if (!mayGoOn) listener()
     }
 
     @Synchronized
     private fun cancel(newReason: CancelReason) {
         if (cancelReason == null) cancelReason = newReason
         silence.stop()
-        if (newReason != CancelReason.SILENCE) cancelled.countDown()
+        if (newReason != CancelReason.SILENCE) {
+            cancelled.countDown()
+            onCancelled()
+        }
         call?.cancel()
     }
 }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunState.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunState.kt
@@ -25,6 +25,7 @@
 ) {
     val placer = RequestPlacer(context, request)
     val turn = PrefillTurn(context, request.id, guard)
+    val rankedTurn = RankedTurn(context, request, guard)
     val crashes = CrashObserver(context.crashGuard, request, body)
     val relay = RequestRelay(context.relay, request)
     var counts = SendCounts()
@@ -44,6 +45,12 @@
     /** When the caller was sent the last event, in milliseconds since the arrival, or zero before the first one. */
     var lastEventMs = 0L
 
+    /** Ends the wait for the engines, if there is one. */
+    fun endTurns() {
+        turn.end(elapsedMs())
+        rankedTurn.end()
+    }
+
     /** Time since the arrival, in milliseconds. */
     fun elapsedMs(): Long = Clocks.steadyMs() - arrivedMs
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamAttempt.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamAttempt.kt
@@ -22,13 +22,15 @@
     /** Makes one attempt at the service called [serviceName]; returns null if the request is to be placed again. */
     fun run(admitted: AdmittedTarget, serviceName: String, lastEventId: Long?): RunOutcome? {
         val spec = context.fleetView.routing.table?.serviceOf(serviceName)
-        return when (val decision = placer.place(spec, serviceName, admitted.route, callerWait(admitted.route))) {
+        val wait = callerWait(admitted.route)
+        val kept = state.rankedTurn.prepare(admitted, serviceName, wait) ?: return awaitRanked(null)
+        return when (val decision = placer.place(spec, serviceName, admitted.route, wait, kept)) {
             is PlacementDecision.Send -> {
                 state.turn.end(state.elapsedMs())
                 sendPlaced(decision.work, admitted, lastEventId)
             }
 
-            is PlacementDecision.Wait -> awaitTurn(decision.forecast)
+            is PlacementDecision.Wait -> if (state.rankedTurn.isNeeded) awaitRanked(decision) else awaitTurn(decision.forecast)
 
             is PlacementDecision.Reject -> RunOutcome.Failed(RunFailures.backlog(decision.retryAfterMs))
 
@@ -42,7 +44,7 @@
     // Returns null if the request is to be placed again, at another upstream or later.
     private fun sendPlaced(work: PlacedWork, admitted: AdmittedTarget, lastEventId: Long?): RunOutcome? {
         val placement = work.placement
-        val progress = context.loads.begin(work, Clocks.steadyMs())
+        val progress = state.rankedTurn.onPlaced(work, context.loads.begin(work, Clocks.steadyMs()))
         if (request.size?.isShort == false) context.onLongPromptPlaced()
         val reservedHelpers = context.reservations.reserve(placement, request.id).getOrElse { refusing ->
             progress.end()
@@ -50,6 +52,7 @@
             val end = AttemptEnd.NotSent("KV cache for the prompt could not be reserved")
             return steps.decideNext(admitted.route, null, end, null)
         }
+        state.rankedTurn.onSend()
         val endAttempt = {
             guard.detach()
             progress.end()
@@ -103,7 +106,17 @@
     private fun awaitTurn(forecast: PrefillForecast): RunOutcome? {
         val hasBegun = state.turn.begin(state.service.orEmpty(), forecast, state.elapsedMs())
         if (!hasBegun) return RunOutcome.Failed(RunFailures.backlog(forecast.backlogMs.toLong()))
-        if (state.turn.await()) return null
+        return if (state.turn.await()) null else cancelledOutcome()
+    }
+
+    // Returns null if the request is to be placed again.
+    private fun awaitRanked(decision: PlacementDecision.Wait?): RunOutcome? = when (state.rankedTurn.await(decision)) {
+        RankedTurnEnd.TURN -> null
+        RankedTurnEnd.REFUSED -> RunOutcome.Failed(state.rankedTurn.refusal(decision?.forecast))
+        RankedTurnEnd.CANCELLED -> cancelledOutcome()
+    }
+
+    private fun cancelledOutcome(): RunOutcome {
         if (guard.cancelReason == CancelReason.STOPPING) return RunOutcome.Failed(RunFailures.stopping())
         return RunOutcome.Failed(steps.deadlineFailure() ?: RunFailures.callerGone())
     }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
@@ -12,6 +12,7 @@
 import org.godwitwick.core.forward.RequestSize
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.forward.UpstreamView
+import org.godwitwick.core.model.InstanceId
 import kotlin.random.Random
 
 /**
@@ -28,8 +29,12 @@
     /** The request is sent as [work] says. */
     data class Send(val work: PlacedWork) : PlacementDecision
 
-    /** The engines have too much prefill pending for a prefill as in [forecast]; the request is placed again a little later. */
-    data class Wait(val forecast: PrefillForecast) : PlacementDecision
+    /**
+     * The engines have too much prefill pending for a prefill as in [forecast]; the request is placed again a little later.
+     *
+     * @property engines the engines on which it would be placed.
+     */
+    data class Wait(val forecast: PrefillForecast, val engines: Set<InstanceId> = emptySet()) : PlacementDecision
 
     /** The request cannot be answered in time; the engines may take it after [retryAfterMs]. */
     data class Reject(val retryAfterMs: Long) : PlacementDecision
@@ -68,7 +73,7 @@
         val forecast = PrefillForecast(prefillMs, queuedPrefillMs.values.maxOrNull() ?: 0.0)
         return when (val start = startRule.decide(demand.wait, forecast, nowMs)) {
             is PrefillStart.Begin -> PlacementDecision.Send(work)
-            is PrefillStart.Wait -> PlacementDecision.Wait(forecast)
+            is PrefillStart.Wait -> PlacementDecision.Wait(forecast, engineIds)
             is PrefillStart.Reject -> PlacementDecision.Reject(start.retryAfterMs)
         }
     }
--- a/node/src/main/kotlin/org/godwitwick/node/peer/ForwardLoad.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/ForwardLoad.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
+import org.godwitwick.core.forward.RecentWork
 import org.godwitwick.core.forward.UpstreamWork
 import org.godwitwick.core.model.InstanceId
 
@@ -31,6 +32,9 @@
  * @property instances number of instances whose work is included.
  * @property scope the set of instances whose work is included.
  * @property dataCentre the data centre whose work is included, or empty.
+ * @property organisations the organisations with the most recent prefill work at services that are contended by rank, see
+ *   [RecentWork.keyOf].
+ * @property organisationWorkMs the recent work of each of [organisations], in milliseconds.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -46,6 +50,8 @@
     @CborLabel(8) val instances: Int = 1,
     @CborLabel(9) val scope: LoadScope = LoadScope.INSTANCE,
     @CborLabel(10) val dataCentre: String = "",
+    @CborLabel(13) val organisations: List<Int> = emptyList(),
+    @CborLabel(14) val organisationWorkMs: List<Int> = emptyList(),
 ) : PeerMessage {
     /**
      * Whether the sender created this message after [other], so that [other] was overtaken. A restart of the sender may set its
@@ -53,6 +59,10 @@
      */
     fun isNewerThan(other: ForwardLoad): Boolean = sentAtMs > other.sentAtMs && sentAtMs - other.sentAtMs < MAX_REORDERING_MS
 
+    /** Whether this report shows less prefill or fewer requests than the [earlier] one of the same sender. */
+    fun showsLessThan(earlier: ForwardLoad): Boolean =
+        pendingReadMs.sum() < earlier.pendingReadMs.sum() || running.sum() < earlier.running.sum()
+
     /** The work at each upstream, keyed by [keyOf]; empty if the lists differ in length. */
     fun byUpstream(): Map<Int, UpstreamWork> {
         val columns = listOf(pendingReadMs, running, shortStreams, helping, heldKiloTokens)
@@ -63,6 +73,12 @@
         }
     }
 
+    /** The recent work by organisation, in milliseconds; empty if the lists differ in length. */
+    fun recentWork(): Map<Int, Double> {
+        if (organisations.size != organisationWorkMs.size) return emptyMap()
+        return organisations.indices.associate { organisations[it] to organisationWorkMs[it].coerceAtLeast(0).toDouble() }
+    }
+
     companion object {
         private const val KILO = 1_000L
 
@@ -73,8 +89,8 @@
         fun keyOf(id: InstanceId): Int = id.value.hashCode()
 
         /**
-         * Creates the message that reports [work], keyed by [keyOf] of the upstream, at [nowMs]. Upstreams without work are left
-         * out.
+         * Creates the message that reports [work], keyed by [keyOf] of the upstream, at [nowMs], and the largest parts of
+         * [recentWork], keyed by [RecentWork.keyOf]. Upstreams without work are left out.
          */
         fun of(
             work: Map<Int, UpstreamWork>,
@@ -82,8 +98,10 @@
             instances: Int = 1,
             scope: LoadScope = LoadScope.INSTANCE,
             dataCentre: String = "",
+            recentWork: Map<Int, Double> = emptyMap(),
         ): ForwardLoad {
             val rows = work.entries.filter { it.value != UpstreamWork() }
+            val users = RecentWork.largest(recentWork)
             return ForwardLoad(
                 nowMs,
                 rows.map { it.key },
@@ -95,6 +113,8 @@
                 instances,
                 scope,
                 dataCentre,
+                organisations = users.map { it.key },
+                organisationWorkMs = users.map { it.value.toInt() },
             )
         }
     }
--- a/node/src/test/kotlin/org/godwitwick/node/forward/LoadExchangeTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/LoadExchangeTest.kt
@@ -2,21 +2,25 @@
 
 import org.godwitwick.core.forward.LoadExchangePlan
 import org.godwitwick.core.forward.Placement
+import org.godwitwick.core.forward.RecentWork
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.forward.UpstreamWork
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.peer.ForwardLoad
+import org.godwitwick.node.peer.peerCbor
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.all
 import strikt.assertions.isEqualTo
+import strikt.assertions.isIn
 import strikt.assertions.isLessThanOrEqualTo
 
 class LoadExchangeTest {
     private class Instance(val registered: RegisteredInstance, send: (InstanceId, ForwardLoad) -> Unit) {
         val loads = UpstreamLoads()
         val peerLoads = PeerLoads()
-        val exchange = LoadExchange(registered, loads, peerLoads, send)
+        val work = FleetRecentWork(peerLoads)
+        val exchange = LoadExchange(registered, loads, peerLoads, work::own, send)
     }
 
     private class Fleet(count: Int) {
@@ -71,6 +75,41 @@
         expectThat(fleet.runningAt(upstream).values.toList()).all { isEqualTo(UpstreamWork().running) }
     }
 
+    // Guards against an organisation's work that counts twice or not at all, whichever way it is reported.
+    @Test
+    fun `every instance knows the recent work of organisations at any fleet size`() {
+        for (size in listOf(2, 12, 13, 71)) {
+            val fleet = Fleet(size)
+            fleet.rounds(5)
+            fleet.instances.values.forEach { it.work.add(ORGANISATION, 1_000.0, fleet.nowMs) }
+            fleet.rounds(3)
+            val known = fleet.instances.values.map { it.work.all(fleet.nowMs).getValue(ORGANISATION) }
+            expectThat(known).all { isIn(700.0 * size..1_000.0 * size) }
+        }
+    }
+
+    // Guards against reports that count for ever, and against decisions that stop when reports do.
+    @Test
+    fun `an instance that gets no more reports counts its own work only`() {
+        val fleet = Fleet(2)
+        fleet.instances.values.forEach { it.work.add(ORGANISATION, 1_000.0, 0) }
+        fleet.rounds(1)
+        val nowMs = fleet.nowMs + 1_001
+        fleet.instances.values.forEach { expectThat(it.work.all(nowMs)).isEqualTo(it.work.own(nowMs)) }
+    }
+
+    // Guards against a new field in the messages of deployments without ranks, and against one that grows with the organisations.
+    @Test
+    fun `a report names the largest organisations, and without work none`() {
+        val work = (1..100).associate { "organisation-$it".hashCode() to it * 1_000.0 }
+        val load = ForwardLoad.of(emptyMap(), 0, recentWork = work)
+        expectThat(load.recentWork()).isEqualTo(work.filterValues { it > (100 - RecentWork.MAX_REPORTED) * 1_000.0 })
+        expectThat(peerCbor.encodeToByteArray(ForwardLoad.serializer(), load).size).isLessThanOrEqualTo(400)
+        val plain = peerCbor.encodeToByteArray(ForwardLoad.serializer(), ForwardLoad.of(emptyMap(), 0))
+        val former = ForwardLoad(0, emptyList(), emptyList(), emptyList(), emptyList(), emptyList(), emptyList())
+        expectThat(plain.toList()).isEqualTo(peerCbor.encodeToByteArray(ForwardLoad.serializer(), former).toList())
+    }
+
     // Guards against instances that choose the same idle engines when long prompts arrive at several instances almost at once.
     @Test
     fun `work sent by sendNow is known to all instances of a small fleet before the next round`() {
@@ -114,5 +153,6 @@
 
     private companion object {
         const val PERIOD_MS = 200L
+        const val ORGANISATION = 7
     }
 }
