Count a waiting prompt once when ranks come into force

A prompt that waited without an order when the configuration began to state ranks would have taken a second place in the queue; its first wait now ends. The recent work in a report is decoded once.

--- a/core/src/test/kotlin/org/godwitwick/core/forward/ShareOrderTest.kt
+++ b/core/src/test/kotlin/org/godwitwick/core/forward/ShareOrderTest.kt
@@ -42,17 +42,14 @@
         expectThat(ordered.indexOf(one)).isEqualTo(1)
     }
 
-    /**
-     * A queue of one instance before engines that take one prompt at a time.
-     *
-     * @property retries how often a caller sends a refused prompt again before the next event.
-     */
+    /** A queue of one instance before engines that take one prompt at a time. */
     private class Instance(private val known: () -> Map<Int, Double>) {
         val own = RecentWork()
         val served = HashMap<Int, Double>()
         val refused = HashMap<Int, Int>()
         private val waiting = ArrayList<WaitingPrompt>()
 
+        // The caller sends a refused prompt again up to [retries] times before the next event.
         fun arrive(prompt: WaitingPrompt, retries: Int = 0) {
             repeat(retries + 1) {
                 waiting += prompt
--- a/node/src/main/kotlin/org/godwitwick/node/forward/PeerLoads.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/PeerLoads.kt
@@ -13,7 +13,9 @@
  * @param onLessWork called after a report that shows less work than the one before.
  */
 class PeerLoads(private val onLessWork: () -> Unit = {}) {
-    private class Report(val load: ForwardLoad, val atMs: Long, val work: Map<Int, UpstreamWork>)
+    private class Report(val load: ForwardLoad, val atMs: Long, val work: Map<Int, UpstreamWork>) {
+        val recentWork by lazy(LazyThreadSafetyMode.PUBLICATION) { load.recentWork() }
+    }
 
     private val instanceReports = ConcurrentHashMap<InstanceId, Report>()
     private val dataCentreReports = ConcurrentHashMap<String, Report>()
@@ -43,7 +45,7 @@
     }
 
     /** Recent work of all other instances by organisation, in milliseconds, from the reports that count at [nowMs]. */
-    fun recentWork(nowMs: Long): Map<Int, Double> = sumOfWork(sources(nowMs).map { it.load.recentWork() })
+    fun recentWork(nowMs: Long): Map<Int, Double> = sumOfWork(sources(nowMs).map { it.recentWork })
 
     /** Time since the last report of [instance], in milliseconds, or null if there was none. */
     fun silentMs(instance: InstanceId, nowMs: Long): Long? = instanceReports[instance]?.let { nowMs - it.atMs }
@@ -59,8 +61,8 @@
             remoteInstances = remote.sumOf { it.load.instances },
             recentWork = RecentWorkTotals(
                 ownRecentWork,
-                instanceReports.filterValues { it.isFresh(nowMs) }.mapValues { it.value.load.recentWork() },
-                remote.map { it.load.recentWork() },
+                instanceReports.filterValues { it.isFresh(nowMs) }.mapValues { it.value.recentWork },
+                remote.map { it.recentWork },
             ),
         )
     }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RankedPrefillQueue.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RankedPrefillQueue.kt
@@ -26,11 +26,11 @@
 /**
  * Long prompts that wait at this instance for the engines of services that are contended by rank, in the order of [ShareOrder].
  *
- * At an event, which is an end of a request or of a prefill of this instance, a new placement of a prompt that waited, or a report of
- * less work, the first prompt is placed again. A prompt that arrives while others are ahead of it is one more event: if it were placed at
- * once, callers would gain by returning often. Only if it still has to wait are the next ones placed, without the engines that are kept
- * for the prompts ahead of them. A pass of such placements tries few prompts, one after the other, each in the thread of its request. A
- * slow timer, which is that of the waiting threads, starts a pass if no event occurs. Thread safe.
+ * At an event, the first prompt is placed again. Only if it still has to wait are the next ones placed, without the engines that are
+ * kept for the prompts ahead of them. Events are an end of a request or of a prefill of this instance, the departure of a prompt that
+ * waited, a report of less work, and the arrival of a prompt that others precede; if that one were placed at once, callers would gain by
+ * returning often. A pass of such placements tries few prompts, one after the other, each in the thread of its request. A slow timer,
+ * which is that of the waiting threads, starts a pass if no event occurs. Thread safe.
  *
  * @param places the places of all prompts that wait at this instance, whether or not their service is contended by rank.
  * @param recentWork returns the recent work by organisation at a time of [nowMs].
@@ -112,7 +112,7 @@
         if (size > 0) synchronized(this) { startPass(event) }
     }
 
-    // Called with the lock of this queue, like all functions below.
+    // Called with the lock of this queue, like [proceed].
     private fun startPass(event: Event) {
         if (active != null) {
             if (pendingEvent != Event.OWN) pendingEvent = event
--- a/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamAttempt.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamAttempt.kt
@@ -110,10 +110,14 @@
     }
 
     // Returns null if the request is to be placed again.
-    private fun awaitRanked(decision: PlacementDecision.Wait?): RunOutcome? = when (state.rankedTurn.await(decision)) {
-        RankedTurnEnd.TURN -> null
-        RankedTurnEnd.REFUSED -> RunOutcome.Failed(state.rankedTurn.refusal(decision?.forecast))
-        RankedTurnEnd.CANCELLED -> cancelledOutcome()
+    private fun awaitRanked(decision: PlacementDecision.Wait?): RunOutcome? {
+        // The configuration may have stated ranks while the request waited without an order.
+        state.turn.end(state.elapsedMs())
+        return when (state.rankedTurn.await(decision)) {
+            RankedTurnEnd.TURN -> null
+            RankedTurnEnd.REFUSED -> RunOutcome.Failed(state.rankedTurn.refusal(decision?.forecast))
+            RankedTurnEnd.CANCELLED -> cancelledOutcome()
+        }
     }
 
     private fun cancelledOutcome(): RunOutcome {
--- a/node/src/test/kotlin/org/godwitwick/node/forward/RankedPrefillQueueTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/RankedPrefillQueueTest.kt
@@ -11,6 +11,7 @@
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
+import strikt.assertions.isTrue
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.Executors
 import java.util.concurrent.Future
@@ -41,10 +42,13 @@
 
     private fun RankedPrefillQueue.Ticket.turn(): Future<RankedTurnEnd> = threads.submit<RankedTurnEnd> { await { true } }
 
-    private fun Future<RankedTurnEnd>.result(): RankedTurnEnd? = try {
+    private fun Future<RankedTurnEnd>.result(): RankedTurnEnd = get(20, TimeUnit.SECONDS)
+
+    private fun Future<RankedTurnEnd>.isPending(): Boolean = try {
         get(SOON_MS, TimeUnit.MILLISECONDS)
+        false
     } catch (_: TimeoutException) {
-        null
+        true
     }
 
     // Guards against a later prompt that overtakes, and against prompts that wait for a timer although engines are free.
@@ -57,7 +61,7 @@
         expectThat(turnFirst.isDone || turnBehind.isDone).isEqualTo(false)
         queue.onOwnEnd()
         expectThat(turnFirst.result()).isEqualTo(RankedTurnEnd.TURN)
-        expectThat(turnBehind.result()).isNull()
+        expectThat(turnBehind.isPending()).isTrue()
         first.leave()
         expectThat(turnBehind.result()).isEqualTo(RankedTurnEnd.TURN)
     }
@@ -85,7 +89,7 @@
         val arrived = enter(BIG, 50, forecast = null)!!
         val turn = arrived.turn()
         expectThat(first.turn().result()).isEqualTo(RankedTurnEnd.TURN)
-        expectThat(turn.result()).isNull()
+        expectThat(turn.isPending()).isTrue()
         first.stay(onTime)
         expectThat(turn.result()).isEqualTo(RankedTurnEnd.TURN)
         expectThat(arrived.keptAhead()).isEqualTo(setOf(engine))
@@ -102,7 +106,7 @@
     @Test
     fun `without events the timer places the first prompt again`() {
         val turn = enter(SMALL, 200)!!.turn()
-        expectThat(turn.result()).isNull()
+        expectThat(turn.isPending()).isTrue()
         nowMs = 100
         expectThat(turn.result()).isEqualTo(RankedTurnEnd.TURN)
     }
@@ -179,7 +183,7 @@
         const val SMALL = 2
         const val NEW = 3
 
-        /** Longer than the wait of a thread for its next look at the queue. */
-        const val SOON_MS = 700L
+        /** Longer than the wait of the threads of two prompts for their next look at the queue. */
+        const val SOON_MS = 350L
     }
 }
