--- a/core/src/main/kotlin/org/godwitwick/core/forward/RoutingConfig.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/RoutingConfig.kt
@@ -6,11 +6,22 @@
  * An organisation and the valid keys of its callers.
  *
  * @property priority stated priority, which precedes that of the route, or null if none is stated.
+ * @property allowedRegions regions in which its requests may be handled, or null for all.
  */
-data class OrganisationKeys(val organisation: OrganisationId, val keys: List<String>, val priority: Int? = null)
+data class OrganisationKeys(
+    val organisation: OrganisationId,
+    val keys: List<String>,
+    val priority: Int? = null,
+    val allowedRegions: Set<String>? = null,
+)
 
-/** A service to which routes forward requests; [engine] is null for a plain service. */
-data class ForwardService(val name: String, val engine: EngineProfile?)
+/**
+ * A service to which routes forward requests.
+ *
+ * @property engine null for a plain service.
+ * @property cold what its cold upstreams accept, or null if they accept as much as others.
+ */
+data class ForwardService(val name: String, val engine: EngineProfile?, val cold: ColdStart? = null)
 
 /**
  * Limits on the requests and connections of callers.
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
@@ -1,6 +1,7 @@
 package org.godwitwick.node.forward
 
 import org.godwitwick.core.forward.ForwardAdmission
+import org.godwitwick.core.forward.Regions
 import org.godwitwick.core.forward.StreamTimeoutRule
 import org.godwitwick.node.memory.BodyMemory
 import kotlin.random.Random
@@ -23,6 +24,7 @@
     val budgets: RetryBudgets,
     val prefillQueue: PrefillQueue,
     val shares: PrefillShares,
+    val limitQueue: LimitQueue,
     val crashGuard: CrashGuard,
     val statements: UpstreamStatements,
     val metrics: ForwardMetrics,
@@ -31,4 +33,5 @@
     val relayHeaders: RelayHeaders,
     val onLongPromptPlaced: () -> Unit,
     val bodyMemory: BodyMemory,
+    val regions: Regions,
 )
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardMetrics.kt
@@ -12,6 +12,8 @@
  * @param limitedCount returns the number of upstreams that state a limit.
  * @param leavingCount returns the number of registered upstreams that have stated that they are leaving.
  * @param cutOff returns 1 while this instance is cut off from all upstreams, otherwise 0.
+ * @param evacuatedCount returns the number of evacuated data centres.
+ * @param coldCount returns the number of upstreams that are cold.
  */
 class ForwardMetrics(
     registry: PrometheusRegistry,
@@ -19,6 +21,8 @@
     limitedCount: () -> Int,
     leavingCount: () -> Int,
     cutOff: () -> Int,
+    evacuatedCount: () -> Int,
+    coldCount: () -> Int,
 ) {
     private val requests = Counter.builder()
         .name("godwitwick_forwarded_requests_total")
@@ -38,6 +42,12 @@
         .labelNames("result")
         .withoutExemplars()
         .register(registry)
+    private val regionRefusals = Counter.builder()
+        .name("godwitwick_forward_region_refusals_total")
+        .help("Requests that were refused because no upstream is in an allowed region.")
+        .labelNames("service")
+        .withoutExemplars()
+        .register(registry)
     private val firstByte =
         histogram(registry, "godwitwick_forward_first_byte_seconds", "Time from the arrival to the first byte.")
     private val duration =
@@ -48,6 +58,13 @@
         "Time that long prompts waited at this instance because the engines had prefill pending.",
     )
 
+    private val ranked = Counter.builder()
+        .name("godwitwick_forward_ranked_total")
+        .help("Decisions on requests to services with stated ranks, by level and decision: in-time, late or waited.")
+        .labelNames("service", "level", "decision")
+        .withoutExemplars()
+        .register(registry)
+
     init {
         gauge(
             registry,
@@ -58,11 +75,16 @@
         gauge(registry, "godwitwick_forward_limited_upstreams", "Upstreams that state a limit.", limitedCount)
         gauge(registry, "godwitwick_forward_leaving_upstreams", "Registered upstreams that have stated they leave.", leavingCount)
         gauge(registry, "godwitwick_forward_cut_off", "Whether no upstream accepts connections of this instance.", cutOff)
+        gauge(registry, "godwitwick_forward_evacuated_data_centres", "Evacuated data centres.", evacuatedCount)
+        gauge(registry, "godwitwick_forward_cold_upstreams", "Upstreams that are cold.", coldCount)
     }
 
     /** Counts a send to another instance that ended with [result]. */
     fun recordRelay(result: String) = relayed.labelValues(result).inc()
 
+    /** Counts a request to [service] that was refused because no upstream is in an allowed region. */
+    fun recordRegionRefusal(service: String) = regionRefusals.labelValues(service).inc()
+
     private fun gauge(registry: PrometheusRegistry, name: String, help: String, value: () -> Int) =
         GaugeWithCallback.builder().name(name).help(help).callback { it.call(value().toDouble()) }.register(registry)
 
@@ -79,6 +101,10 @@
         duration.labelValues(service).observe(durationMs / MS_PER_SECOND)
     }
 
+    /** Counts a [decision] on a request of [level] to [service]. */
+    fun recordRanked(service: String, level: Int, decision: String) =
+        ranked.labelValues(service, level.toString(), decision).inc()
+
     /** Counts a retry of a request at another upstream of [service]. */
     fun recordRetry(service: String) = retries.labelValues(service).inc()
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -3,8 +3,8 @@
 import org.godwitwick.core.forward.FeedSourceSelector
 import org.godwitwick.core.forward.ForwardAdmission
 import org.godwitwick.core.forward.KeyFreshness
+import org.godwitwick.core.forward.OperatorRecord
 import org.godwitwick.core.forward.PlacementRule
-import org.godwitwick.core.forward.RoutingConfig
 import org.godwitwick.core.forward.StreamTimeoutRule
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.forward.reserveShareOf
@@ -16,6 +16,7 @@
 import org.godwitwick.node.http.StreamingUndertow
 import org.godwitwick.node.memory.BodyMemory
 import org.godwitwick.node.metrics.NodeMetrics
+import org.godwitwick.node.peer.StatementRow
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
@@ -29,7 +30,7 @@
 class ForwardNode(
     private val settings: ForwardSettings,
     dialect: ForwardDialect,
-    configFeed: RecordFeed<RoutingConfig>,
+    configFeed: RecordFeed<OperatorRecord>,
     upstreamFeed: RecordFeed<UpstreamEntry>,
     registry: InstanceRegistry,
     quarantines: QuarantineStore,
@@ -50,15 +51,17 @@
     private val caches = listOf(CONFIG_FEED, UPSTREAM_FEED).associateWith { FeedCache(Clocks::read) }
     private val crashGuard = CrashGuard(Clocks::steadyMs, { quarantineKeeper.save() }) { rows -> peers.sendQuarantine(rows) }
     private val peers: ForwardPeers =
-        ForwardPeers(self, registry, loads, peerLoads, shares.work::own, caches, crashGuard, {
-            statements.onRow(it)
-        }, { quarantineKeeper.save() })
+        ForwardPeers(self, registry, loads, peerLoads, shares.work::own, caches, crashGuard, ::onStatementRow, {
+            quarantineKeeper.save()
+        })
     private val quarantineKeeper: QuarantineKeeper =
         QuarantineKeeper(quarantines, crashGuard::lastingRows, { crashGuard.onRows("the store", it) })
     private val statements =
         UpstreamStatements(self.id, { peers.fleet.ids }, Clocks::steadyMs) { row -> peers.sendStatement(row) }
     private val freshness = KeyFreshness(settings.revocationMs)
-    private val fleetView = FleetView(control, loads, statements, Clocks::steadyMs)
+    private val coldTracker: ColdTracker =
+        ColdTracker(statements, settings.coldBound, { fleetView.routing.table }, Clocks::steadyMs) { peers.sendStatement(it) }
+    private val fleetView: FleetView = FleetView(control, loads, statements, coldTracker, settings.evacuationMs, Clocks::steadyMs)
     private val relay: Relay = Relay(
         peers.fleet::others,
         { fleetView.upstreams.mapValues { (_, entries) -> entries.map { it.address } } },
@@ -67,15 +70,15 @@
         Random.Default,
     ) { client.closeIdle() }
     private val relayHeaders = RelayHeaders { peers.secret }
-    private val client: ForwardClient = ForwardClient(dialect, CONNECT_TIMEOUT_MS, statements::onAnswer, relay, relayHeaders)
-    private val reservations = Reservations(client, dialect, holdMsOf(settings))
+    private val client: ForwardClient = ForwardClient(dialect, CONNECT_TIMEOUT_MS, ::onStatement, relay, relayHeaders)
+    private val reservations = Reservations(client, dialect, holdMsOf(settings), fleetView::isUsable)
     private val runs = RunWatch(Clocks::steadyMs)
     private val inFlight = InFlightExchanges()
     private val context = ForwardContext(
         dialect = dialect,
         fleetView = fleetView,
         admission = ForwardAdmission(freshness),
-        placer = WorkPlacer(PlacementRule(Random.Default), loads, peerLoads, Random.Default, peers.fleet::instanceCount),
+        placer = WorkPlacer(PlacementRule(Random.Default), loads, peerLoads, peers.fleet::instanceCount),
         streamTimeouts = StreamTimeoutRule(settings.stallMs),
         client = client,
         reservations = reservations,
@@ -87,6 +90,7 @@
         ),
         prefillQueue = prefillQueue,
         shares = shares,
+        limitQueue = LimitQueue(MAX_WAITING),
         crashGuard = crashGuard,
         statements = statements,
         metrics = ForwardMetrics(
@@ -95,15 +99,18 @@
             statements::limitedCount,
             statements::leavingCount,
             { if (relay.isCutOff) 1 else 0 },
+            { fleetView.evacuated.size },
+            statements::coldCount,
         ),
         random = Random.Default,
         relay = relay,
         relayHeaders = relayHeaders,
         onLongPromptPlaced = peers::sendLoadSoon,
         bodyMemory = BodyMemory(settings.bodyMemoryBytes, Clocks::steadyMs).also { it.register(metrics.registry) },
+        regions = settings.regions,
     )
     private val configFollower =
-        follower(CONFIG_FEED, configFeed, FeedPacings.ofConfig(settings.revocationMs, settings.applyMs), fleetView.configListener)
+        follower(CONFIG_FEED, configFeed, operatorPacingOf(settings), fleetView.operatorListener)
     private val upstreamFollower =
         follower(UPSTREAM_FEED, upstreamFeed, FeedPacings.ofUpstreams(settings.leavingMs), fleetView.upstreamListener)
 
@@ -140,7 +147,7 @@
     val isReady: Boolean
         get() {
             val config = fleetView.routing
-            val knowsFleet = config.table != null && fleetView.upstreams.isNotEmpty()
+            val knowsFleet = config.table != null && fleetView.hasRegistered
             return !drain.isDraining && knowsFleet && freshness.mayAcceptKeys(config.provenAt, Clocks.read())
         }
 
@@ -185,6 +192,13 @@
         return FeedFollower(name, reader, feed::decode, listener)
     }
 
+    private fun onStatement(upstream: UpstreamEntry, statement: UpstreamStatement) {
+        statements.onAnswer(upstream, statement)
+        coldTracker.onAnswer(upstream, statement)
+    }
+
+    private fun onStatementRow(row: StatementRow) = if (row.coldMs == null) statements.onRow(row) else coldTracker.onRow(row)
+
     private fun answerOperations(request: Request): Response = when (request.uri.path) {
         settings.readinessPath -> Response(if (isReady) Status.OK else Status.SERVICE_UNAVAILABLE)
         settings.metricsPath -> Response(Status.OK).header("Content-Type", NodeMetrics.CONTENT_TYPE).body(metrics.render())
@@ -248,6 +262,9 @@
          */
         const val HOLD_MARGIN_MS = 1_000L
 
+        fun operatorPacingOf(settings: ForwardSettings) =
+            FeedPacings.ofOperator(settings.revocationMs, settings.applyMs, settings.evacuationMs)
+
         fun holdMsOf(settings: ForwardSettings) = (settings.freeMs - HOLD_MARGIN_MS).coerceIn(HOLD_MARGIN_MS, settings.maxHoldMs)
     }
 }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardSettings.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardSettings.kt
@@ -1,5 +1,7 @@
 package org.godwitwick.node.forward
 
+import org.godwitwick.core.forward.ColdBound
+import org.godwitwick.core.forward.Regions
 import org.godwitwick.node.memory.bodyMemoryBytes
 
 /**
@@ -13,6 +15,7 @@
  * @property revocationMs time after which no instance may accept a revoked key.
  * @property applyMs time within which a new configuration must be in force.
  * @property leavingMs time within which a leaving upstream gets no new work.
+ * @property evacuationMs time within which the upstreams of an evacuated data centre get no new work.
  * @property retryFraction retries per request that the whole fleet may send to a service.
  * @property retryReserve number of further retries for the whole fleet within [retryWindowMs].
  * @property retryWindowMs time over which retries are counted.
@@ -21,6 +24,8 @@
  * @property freeMs time within which abandoned reservations must be free again.
  * @property graceMs time between the stop signal and the forced termination.
  * @property bodyMemoryBytes memory that the bodies of requests and of buffered answers may use at once.
+ * @property coldBound bound on what a cold upstream gets from all instances together.
+ * @property regions regions of the data centres.
  */
 data class ForwardSettings(
     val instanceName: String,
@@ -44,4 +49,7 @@
     val freeMs: Long,
     val graceMs: Long,
     val bodyMemoryBytes: Long = bodyMemoryBytes(),
+    val evacuationMs: Long = 5_000,
+    val coldBound: ColdBound = ColdBound(),
+    val regions: Regions = Regions(),
 )
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RankedPrefillQueue.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RankedPrefillQueue.kt
@@ -78,6 +78,7 @@
             val last = ordered(waiting).last().item
             waiting -= last
             if (last === ticket) return null
+            waiting.first().wake()
             // Its place passes to the new prompt.
             last.refuse()
         }
@@ -136,6 +137,8 @@
         while (active == null && pass.isNotEmpty()) active = pass.removeFirst().takeIf { it in waiting }
         active?.wake()
         if (active == null) {
+            // The timer counts from the end of a pass, so that long passes in a large fleet do not follow each other without a pause.
+            lastPassAtMs = nowMs()
             startPass(pendingEvent ?: return)
         }
     }
@@ -164,7 +167,7 @@
                 synchronized(this@RankedPrefillQueue) {
                     if (isRefused) return RankedTurnEnd.REFUSED
                     if (active === this) return RankedTurnEnd.TURN
-                    if (!wasWoken && nowMs() - lastPassAtMs >= FALLBACK_MS) startPass(Event.OWN)
+                    if (!wasWoken && active == null && nowMs() - lastPassAtMs >= FALLBACK_MS) startPass(Event.OWN)
                 }
             }
         }
@@ -182,7 +185,11 @@
         /** Ends the wait. The others are placed again, because this prompt was placed or its engines are no longer kept. */
         fun leave() = synchronized(this@RankedPrefillQueue) {
             val wasWaiting = waiting.remove(this)
-            if (wasWaiting) places.leave()
+            if (wasWaiting) {
+                places.leave()
+                // The next one may have to take over the timer.
+                waiting.firstOrNull()?.wake()
+            }
             size = waiting.size
             if (active === this) {
                 pass.clear()
@@ -199,25 +206,33 @@
             wake()
         }
 
-        // One of the waiting threads wakes about every FALLBACK_MS.
-        private fun timeoutMs(): Long {
-            val minMs = minOf(FALLBACK_MS * size.coerceAtLeast(1), MAX_UNTRIED_MS)
-            return random.nextLong(minMs, minMs * 3 / 2)
+        // The thread of the first prompt to arrive looks after the timer. The other threads wake rarely.
+        private fun timeoutMs(): Long = synchronized(this@RankedPrefillQueue) {
+            if (waiting.firstOrNull() !== this) return random.nextLong(SPARE_TIMEOUT_MS, SPARE_TIMEOUT_MS * 3 / 2)
+            val minMs = (lastPassAtMs + FALLBACK_MS - nowMs()).coerceIn(MIN_TIMEOUT_MS, FALLBACK_MS)
+            random.nextLong(minMs, minMs * 3 / 2)
         }
     }
 
     private companion object {
         /**
-         * Time without an event after which the first prompt is placed again. The prefill pending at engines of other instances shrinks
-         * without events between their reports, which come every 200 ms.
+         * Time after a pass after which the first prompt is placed again without an event. The prefill known to be pending shrinks with time,
+         * so an engine may be free without an event; a waiting prompt is not to lose more than about 50 ms then.
          */
-        const val FALLBACK_MS = 100L
+        const val FALLBACK_MS = 30L
+        const val MIN_TIMEOUT_MS = 5L
+
+        /** Wait of the threads that do not look after the timer, in case that the one that does is late. */
+        const val SPARE_TIMEOUT_MS = 500L
 
-        /** A prompt further behind is placed again at least this often, so that one whose caller leaves is refused before that. */
-        const val MAX_UNTRIED_MS = 500L
+        /**
+         * A prompt further behind is placed again at least this often, so that a late one finds idle engines, and one whose caller leaves
+         * is refused before that.
+         */
+        const val MAX_UNTRIED_MS = 150L
 
         /** Prompts after the first that are placed again at one event; bounds its processor time. */
-        const val MAX_FOLLOWING = 3
+        const val MAX_FOLLOWING = 7
         const val MIN_DELAY_MS = 5L
         const val MAX_DELAY_MS = 30L
     }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RankedTurn.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RankedTurn.kt
@@ -4,7 +4,9 @@
 import org.godwitwick.core.forward.AdmittedTarget
 import org.godwitwick.core.forward.CallerWait
 import org.godwitwick.core.forward.PrefillForecast
+import org.godwitwick.core.forward.RankedDemand
 import org.godwitwick.core.forward.RecentWork
+import org.godwitwick.core.forward.StatedRank
 import org.godwitwick.core.forward.WaitingPrompt
 import org.godwitwick.core.model.InstanceId
 import org.slf4j.LoggerFactory
@@ -33,20 +35,21 @@
      */
     fun prepare(admitted: AdmittedTarget, serviceName: String, wait: CallerWait): Set<InstanceId>? {
         val table = context.fleetView.routing.table
-        val ranks = table?.ranksOf(serviceName)
+        val rank = table?.ranksOf(serviceName)?.let { StatedRank(it.levelOf(admitted.rank), it) }
+        val engine = table?.serviceOf(serviceName)?.engine
         val size = request.size
-        workMs = if (ranks == null || size == null) null else table.serviceOf(serviceName)?.engine?.prefillMs(size.promptTokens)
+        workMs = if (rank == null || size == null) null else engine?.prefillMs(size.promptTokens)
         service = serviceName
         organisation = RecentWork.keyOf(admitted.organisation)
         val work = workMs
-        if (ranks == null || work == null || size?.isShort != false) {
+        // The same distinction as in the ranked placement, which lets only long prompts wait.
+        if (rank == null || work == null || size == null || engine == null || RankedDemand(size, wait, rank).isShort(engine)) {
             // The configuration may have changed while the request waited.
             end()
             prompt = null
             return emptySet()
         }
-        val level = ranks.levelOf(table.rankOf(admitted.route, admitted.organisation))
-        val current = WaitingPrompt(level, organisation, work, wait.sinceMs + wait.targetMs)
+        val current = WaitingPrompt(rank.level, organisation, work, wait.sinceMs + wait.targetMs)
         prompt = current
         return ticket?.keptAhead() ?: emptySet<InstanceId>().takeIf { shares.queue.isFirst(current) }
     }
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RunState.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RunState.kt
@@ -24,10 +24,11 @@
     val share: BodyShare,
 ) {
     val placer = RequestPlacer(context, request)
+    val ranks = RankObserver(context.metrics, request.id)
     val turn = PrefillTurn(context, request.id, guard)
     val rankedTurn = RankedTurn(context, request, guard)
     val crashes = CrashObserver(context.crashGuard, request, body)
-    val relay = RequestRelay(context.relay, request)
+    val relay = RequestRelay(context.relay, context.regions, request)
     var counts = SendCounts()
     var lastEnd: AttemptEnd? = null
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamStatements.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamStatements.kt
@@ -1,9 +1,13 @@
 package org.godwitwick.node.forward
 
+import org.godwitwick.core.forward.ColdChange
+import org.godwitwick.core.forward.ColdRate
 import org.godwitwick.core.forward.LimitNews
+import org.godwitwick.core.forward.Placement
 import org.godwitwick.core.forward.UpstreamAbsences
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.forward.UpstreamLimits
+import org.godwitwick.core.forward.UpstreamList
 import org.godwitwick.core.forward.UpstreamMemory
 import org.godwitwick.core.model.InstanceId
 import org.godwitwick.node.peer.StatementRow
@@ -25,9 +29,12 @@
     private val absences = UpstreamAbsences()
     private val memory = UpstreamMemory()
 
-    /** Number of upstreams that state a limit. */
+    /** Number of upstreams that state a limit or are cold. */
     val limitedCount: Int @Synchronized get() = limits.limitedCount
 
+    /** Number of upstreams that are cold. */
+    val coldCount: Int @Synchronized get() = limits.coldCount
+
     /** Number of upstreams that have stated that they are leaving. */
     val leavingCount: Int @Synchronized get() = absences.leavingCount
 
@@ -71,53 +78,81 @@
         return result
     }
 
+    /** Applies [change], for an upstream that takes [rate] while it is cold. */
+    @Synchronized
+    fun onCold(change: ColdChange, rate: ColdRate) =
+        limits.onCold(change.upstream, rate, change.untilMs, change.isFresh, fleet(), nowMs())
+
+    /** What to tell other instances of the limit that the process [upstream] has stated. */
+    @Synchronized
+    fun limitNewsOf(upstream: String): LimitNews = limits.newsOf(upstream, nowMs())
+
+    /**
+     * Takes the right to send a request as [placement] says; returns the upstreams that don't allow that, in which case nothing is
+     * taken. A cold helper counts like a cold upstream, since it gets a part of the work at once.
+     */
+    @Synchronized
+    fun tryTake(placement: Placement): List<UpstreamEntry> {
+        val isTaken = { if (tryTake(placement.upstream)) emptyList() else listOf(placement.upstream) }
+        if (placement.helpers.isEmpty() || limits.coldCount == 0) return isTaken()
+        val now = nowMs()
+        val cold = placement.helpers.map { it.upstream }.filter { limits.isCold(it.processKey, now) }
+        val refusing = cold.filterNot { limits.maySend(it.processKey, fleet(), now) }
+        if (refusing.isNotEmpty()) return refusing
+        return isTaken().also { if (it.isEmpty()) cold.forEach { helper -> limits.onSend(helper.processKey, fleet(), now) } }
+    }
+
     /** Takes the right to send one request to [upstream] now; returns false if its limit does not allow that. */
     @Synchronized
     fun tryTake(upstream: UpstreamEntry): Boolean {
         val now = nowMs()
-        val isAllowed =
-            absences.waitMs(upstream.processKey, now) == 0L && limits.maySend(upstream.processKey, fleet(), now)
+        val isAllowed = isOpen(upstream.processKey, now)
         if (isAllowed) limits.onSend(upstream.processKey, fleet(), now)
         return isAllowed
     }
 
     /** Those of [candidates] that take a request now, by what they have stated. */
     @Synchronized
-    fun open(candidates: List<UpstreamEntry>): List<UpstreamEntry> {
+    fun open(candidates: UpstreamList): UpstreamList {
         val now = nowMs()
-        return candidates.filter {
-            absences.waitMs(it.processKey, now) == 0L && limits.maySend(it.processKey, fleet(), now)
-        }
+        return candidates.without(known().filterNot { isOpen(it, now) })
     }
 
+    private fun isOpen(process: String, now: Long): Boolean =
+        absences.waitMs(process, now) == 0L && limits.maySend(process, fleet(), now)
+
+    // The few upstreams that have stated something are looked at instead of all that are registered.
+    private fun known(): Set<String> = limits.known + absences.known
+
     /** Those of [candidates] that have not stated that they are leaving. */
     @Synchronized
-    fun present(candidates: List<UpstreamEntry>): List<UpstreamEntry> {
+    fun present(candidates: UpstreamList): UpstreamList {
         if (absences.leavingCount == 0) return candidates
-        return candidates.filter { absences.isPresent(it.processKey) }
+        return candidates.without(absences.known.filterNot(absences::isPresent))
     }
 
-    /** Those of [candidates] that state no limit. */
+    /** Those of [candidates] that state no limit and are not cold. */
     @Synchronized
-    fun unlimited(candidates: List<UpstreamEntry>): List<UpstreamEntry> {
+    fun unlimited(candidates: UpstreamList): UpstreamList {
         if (limits.limitedCount == 0) return candidates
         val now = nowMs()
-        return candidates.filterNot { limits.isLimited(it.processKey, now) }
+        return candidates.without(limits.known.filter { limits.isLimited(it, now) })
     }
 
-    /** Time until one of [upstreams] takes a request of this instance, in milliseconds, or null if that is not known. */
+    /** Times until [upstreams] take a request of this instance, in milliseconds and ascending order, as far as they are known. */
     @Synchronized
-    fun earliestMs(upstreams: List<UpstreamEntry>): Long? {
+    fun waitsMs(upstreams: List<UpstreamEntry>): List<Long> {
         val now = nowMs()
         return upstreams.mapNotNull { upstream ->
             limits.waitMs(upstream.processKey, fleet(), now)?.let { maxOf(it, absences.waitMs(upstream.processKey, now)) }
-        }.minOrNull()
+        }.sorted()
     }
 
     /** Forgets the upstreams that have not been among [registered] for some time. Call it regularly. */
     @Synchronized
     fun retain(registered: Collection<UpstreamEntry>) {
-        val known = limits.known + absences.known
+        limits.expire(nowMs())
+        val known = known()
         if (known.isEmpty()) return
         val remembered = memory.remembered(known, registered.mapTo(HashSet()) { it.processKey }, nowMs())
         limits.retain(remembered)
--- a/node/src/main/kotlin/org/godwitwick/node/peer/ForwardLoad.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/peer/ForwardLoad.kt
@@ -5,6 +5,8 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
 import org.godwitwick.core.forward.RecentWork
+import org.godwitwick.core.forward.StreamLevels
+import org.godwitwick.core.forward.UpstreamList
 import org.godwitwick.core.forward.UpstreamWork
 import org.godwitwick.core.model.InstanceId
 
@@ -32,6 +34,8 @@
  * @property instances number of instances whose work is included.
  * @property scope the set of instances whose work is included.
  * @property dataCentre the data centre whose work is included, or empty.
+ * @property levels streams by level at each upstream, see [StreamLevels.packed]; empty if none of the streams has a stated rank, and in
+ *   messages of versions that know no ranks.
  * @property organisations the organisations with the most recent prefill work at services that are contended by rank, see
  *   [RecentWork.keyOf].
  * @property organisationWorkMs the recent work of each of [organisations], in milliseconds.
@@ -50,6 +54,7 @@
     @CborLabel(8) val instances: Int = 1,
     @CborLabel(9) val scope: LoadScope = LoadScope.INSTANCE,
     @CborLabel(10) val dataCentre: String = "",
+    @CborLabel(11) val levels: List<Long> = emptyList(),
     @CborLabel(13) val organisations: List<Int> = emptyList(),
     @CborLabel(14) val organisationWorkMs: List<Int> = emptyList(),
 ) : PeerMessage {
@@ -67,9 +72,16 @@
     fun byUpstream(): Map<Int, UpstreamWork> {
         val columns = listOf(pendingReadMs, running, shortStreams, helping, heldKiloTokens)
         if (columns.any { it.size != upstreams.size }) return emptyMap()
+        val hasLevels = levels.size == upstreams.size
         return upstreams.indices.associate { i ->
-            upstreams[i] to
-                UpstreamWork(pendingReadMs[i].toDouble(), running[i], shortStreams[i], helping[i], heldKiloTokens[i] * KILO)
+            upstreams[i] to UpstreamWork(
+                pendingReadMs[i].toDouble(),
+                running[i],
+                shortStreams[i],
+                helping[i],
+                heldKiloTokens[i] * KILO,
+                if (hasLevels) StreamLevels(levels[i]) else StreamLevels.NONE,
+            )
         }
     }
 
@@ -86,7 +98,7 @@
         private const val MAX_REORDERING_MS = 1_000L
 
         /** Key that identifies the upstream [id] in these messages. */
-        fun keyOf(id: InstanceId): Int = id.value.hashCode()
+        fun keyOf(id: InstanceId): Int = UpstreamList.hashOf(id)
 
         /**
          * Creates the message that reports [work], keyed by [keyOf] of the upstream, at [nowMs], and the largest parts of
@@ -113,6 +125,7 @@
                 instances,
                 scope,
                 dataCentre,
+                rows.map { it.value.levels.packed }.takeIf { levels -> levels.any { it != 0L } }.orEmpty(),
                 organisations = users.map { it.key },
                 organisationWorkMs = users.map { it.value.toInt() },
             )
--- a/node/src/test/kotlin/org/godwitwick/node/forward/RankedPrefillQueueTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/RankedPrefillQueueTest.kt
@@ -111,6 +111,27 @@
         expectThat(turn.result()).isEqualTo(RankedTurnEnd.TURN)
     }
 
+    // Guards against a timer that stops when the prompt whose thread looks after it leaves: an engine that becomes free as time passes, which
+    // is no event, would stay unused for half a second.
+    @Test
+    fun `the timer goes on after the first prompt to arrive has left`() {
+        val live = RankedPrefillQueue(places, { recent }, Clocks::steadyMs, Random(3))
+        fun enter(level: Int) =
+            live.enter(WaitingPrompt(level, SMALL, 500.0, 900), RankedForecast(emptySet(), isOnTime = false))!!
+        val arrivedFirst = enter(level = 0)
+        val behind = enter(level = 1)
+        val first = enter(level = 0)
+        val turnsBehind = threads.submit { while (behind.await { true } == RankedTurnEnd.TURN) behind.stay(onTime) }
+        expectThat(turnsBehind.isDone).isEqualTo(false)
+        arrivedFirst.leave()
+        val startedMs = Clocks.steadyMs()
+        repeat(6) {
+            expectThat(first.turn().result()).isEqualTo(RankedTurnEnd.TURN)
+            first.stay(RankedForecast(emptySet(), isOnTime = false))
+        }
+        expectThat(Clocks.steadyMs() - startedMs).isLessThan(1_500)
+    }
+
     @Test
     fun `an event during a placement places the first prompt once more`() {
         val first = enter(SMALL, 200)!!
