--- a/core/src/main/kotlin/org/godwitwick/core/forward/RankedPlacementRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/RankedPlacementRule.kt
@@ -1,5 +1,6 @@
 package org.godwitwick.core.forward
 
+import org.godwitwick.core.model.InstanceId
 import kotlin.random.Random
 
 /**
@@ -190,8 +191,12 @@
     /** The request is sent to [placement]. */
     data class Send(val placement: Placement, val inputs: RankedInputs) : RankedDecision
 
-    /** The request waits at its instance until engines are free that may do its prefill. */
-    data class Wait(val inputs: RankedInputs) : RankedDecision
+    /**
+     * The request waits at its instance until engines are free that may do its prefill.
+     *
+     * @property engines the engines that would be the best ones now; empty if none may do its prefill, or if it is late.
+     */
+    data class Wait(val inputs: RankedInputs, val engines: Set<InstanceId> = emptySet()) : RankedDecision
 
     /** The request cannot be answered before its caller leaves; the engines may take it after [retryAfterMs]. */
     data class Reject(val retryAfterMs: Long) : RankedDecision
--- a/core/src/main/kotlin/org/godwitwick/core/forward/RankedPrefillRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/RankedPrefillRule.kt
@@ -31,13 +31,21 @@
         )
 
         val remainingMs = demand.remainingMs(nowMs) * settings.targetShare - profile.passMs
-        val choices = countsFor(prompt, minOf(possibleCount, candidates.size)).mapNotNull { choose(prompt, it, candidates) }
-        val inTime = choices.filter { it.partMs + it.backlogMs <= remainingMs }
-        inTime.firstOrNull { it.stalled == 0 }?.let { return send(it, isLate = false) }
+        val choices = ArrayList<Choice>()
+        for (count in countsFor(prompt, minOf(possibleCount, candidates.size))) {
+            val choice = choose(prompt, count, candidates) ?: continue
+            if (choice.isInTime(remainingMs) && choice.stalled == 0) return send(choice, isLate = false)
+            choices += choice
+        }
+        val inTime = choices.filter { it.isInTime(remainingMs) }
         val forecast = PrefillForecast(prompt.totalMs / possibleCount, candidates.minOfOrNull { it.waitMs } ?: 0.0)
-        if (forecast.partMs + settings.lastChanceMs <= remainingMs) return RankedDecision.Wait(inputs(forecast, isLate = false))
+        fun waitInTime(): RankedDecision {
+            val best = inTime.minByOrNull { it.stalled } ?: choices.minByOrNull { it.partMs + it.backlogMs }
+            return RankedDecision.Wait(inputs(forecast, isLate = false), best?.engines.orEmpty().mapTo(HashSet()) { it.entry.id })
+        }
+        if (forecast.partMs + settings.lastChanceMs <= remainingMs) return waitInTime()
         inTime.minByOrNull { it.stalled }?.let { return send(it, isLate = true) }
-        if (forecast.partMs <= remainingMs) return RankedDecision.Wait(inputs(forecast, isLate = false))
+        if (forecast.partMs <= remainingMs) return waitInTime()
         val leavesInMs = demand.wait.leavesAtMs - nowMs - settings.answerMs
         if (forecast.partMs > leavesInMs) return RankedDecision.Reject((forecast.backlogMs + forecast.partMs).toLong())
         return lateChoice(choices, forecast, leavesInMs)?.let { send(it, isLate = true) }
@@ -76,7 +84,9 @@
      */
     private class Candidate(val view: UpstreamView, val waitMs: Double, val limitMs: Double, val preferenceMs: Double)
 
-    private class Choice(val engines: List<UpstreamView>, val partMs: Double, val backlogMs: Double, val stalled: Int)
+    private class Choice(val engines: List<UpstreamView>, val partMs: Double, val backlogMs: Double, val stalled: Int) {
+        fun isInTime(remainingMs: Double): Boolean = partMs + backlogMs <= remainingMs
+    }
 
     // Null if no part of the prompt may be prefilled there.
     private fun candidateOf(prompt: Prompt, view: UpstreamView, index: Int, sharedEnd: Int, count: Int): Candidate? {
@@ -134,7 +144,7 @@
         if (view.work.pendingPrefillMs + partMs > prompt.ownLimitMs) view.work.levels[prompt.rank.level] else 0
 
     // A prompt that cannot be in time uses engines that are almost idle, or any allowed ones when its caller is about to leave.
-    private fun lateChoice(choices: Sequence<Choice>, forecast: PrefillForecast, leavesInMs: Double): Choice? {
+    private fun lateChoice(choices: List<Choice>, forecast: PrefillForecast, leavesInMs: Double): Choice? {
         val possible = choices.filter { it.partMs + it.backlogMs <= leavesInMs }
         val isLastCall = leavesInMs <= settings.lastCallMs + forecast.partMs
         return possible.firstOrNull { it.backlogMs <= settings.idleBacklogMs && it.stalled == 0 }
--- a/core/src/test/kotlin/org/godwitwick/core/forward/RankedPlacementRuleTest.kt
+++ b/core/src/test/kotlin/org/godwitwick/core/forward/RankedPlacementRuleTest.kt
@@ -10,6 +10,7 @@
 import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isIn
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isTrue
 import kotlin.random.Random
@@ -52,6 +53,18 @@
             .get { inputs.isLate }.isFalse()
     }
 
+    // Guards against later prompts that take the engines which a waiting prompt would get next, and against engines that are kept for one that
+    // may not use them or can no longer be in time.
+    @Test
+    fun `a prompt that waits in time names the engines it would get, and otherwise none`() {
+        val busy = fleet(18) { digestStream.copy(pendingPrefillMs = 1_200.0) }
+        fun enginesAfter(waitedMs: Long, views: List<UpstreamView>) =
+            (place(demand(2, 190_000, waitedMs = waitedMs), views) as RankedDecision.Wait).engines
+        expectThat(enginesAfter(0, busy).size).isIn(1..17)
+        expectThat(enginesAfter(6_000, busy)).isEmpty()
+        expectThat(enginesAfter(0, fleet(18) { shortStreams })).isEmpty()
+    }
+
     // Guards against short streams that pause because a review is prefilled beside them in one piece.
     @Test
     fun `beside streams that outrank it a prompt is prefilled in parts that leave them within their target`() {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardContext.kt
@@ -23,6 +23,7 @@
     val loads: UpstreamLoads,
     val budgets: RetryBudgets,
     val prefillQueue: PrefillQueue,
+    val shares: PrefillShares,
     val limitQueue: LimitQueue,
     val crashGuard: CrashGuard,
     val statements: UpstreamStatements,
--- a/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/ForwardNode.kt
@@ -42,7 +42,10 @@
     private val control = ControlThread(metrics::controlQueueDelay)
     private val loads = UpstreamLoads()
     private val keptPrompts = settings.promptsKeptMs.takeIf { it > 0 }?.let(::KeptPrompts)
-    private val peerLoads = PeerLoads()
+    private val peerLoads: PeerLoads = PeerLoads { shares.queue.onReport() }
+    private val prefillQueue = PrefillQueue(MAX_WAITING)
+    private val shares: PrefillShares =
+        PrefillShares(prefillQueue, FleetRecentWork(peerLoads), metrics.registry, Clocks::steadyMs, Random.Default)
     private val self = RegisteredInstance(
         InstanceId(settings.instanceName),
         settings.dataCentre,
@@ -52,7 +55,9 @@
     private val caches = listOf(CONFIG_FEED, UPSTREAM_FEED).associateWith { FeedCache(Clocks::read) }
     private val crashGuard = CrashGuard(Clocks::steadyMs, { quarantineKeeper.save() }) { rows -> peers.sendQuarantine(rows) }
     private val peers: ForwardPeers =
-        ForwardPeers(self, registry, loads, peerLoads, caches, crashGuard, ::onStatementRow, { quarantineKeeper.save() })
+        ForwardPeers(self, registry, loads, peerLoads, shares.work::own, caches, crashGuard, ::onStatementRow, {
+            quarantineKeeper.save()
+        })
     private val quarantineKeeper: QuarantineKeeper =
         QuarantineKeeper(quarantines, crashGuard::lastingRows, { crashGuard.onRows("the store", it) })
     private val statements =
@@ -93,7 +98,8 @@
             { reserveShareOf(settings.retryReserve, peers.fleet.largestCount) },
             settings.retryWindowMs + settings.retryWindowMs / RETRY_WINDOW_SLOTS,
         ),
-        prefillQueue = PrefillQueue(MAX_WAITING),
+        prefillQueue = prefillQueue,
+        shares = shares,
         limitQueue = LimitQueue(MAX_WAITING),
         crashGuard = crashGuard,
         statements = statements,
--- a/node/src/main/kotlin/org/godwitwick/node/forward/PeerLoads.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/PeerLoads.kt
@@ -13,9 +13,13 @@
  *
  * The sums over the reports are changed when a report arrives or expires, by the difference from the sender's previous one, so that
  * a placement does not add up the work of the whole fleet.
+ *
+ * @param onLessWork called after a report that shows less work than the one before, without a lock.
  */
-class PeerLoads {
-    private class Report(val load: ForwardLoad, val atMs: Long, val work: Map<Int, UpstreamWork>)
+class PeerLoads(private val onLessWork: () -> Unit = {}) {
+    private class Report(val load: ForwardLoad, val atMs: Long, val work: Map<Int, UpstreamWork>) {
+        val recentWork by lazy(LazyThreadSafetyMode.PUBLICATION) { load.recentWork() }
+    }
 
     private val instanceReports = ConcurrentHashMap<InstanceId, Report>()
     private val dataCentreReports = ConcurrentHashMap<String, Report>()
@@ -34,7 +38,7 @@
     /** Stores the report [load] of instance [from], unless a newer report has already arrived. */
     fun onReport(from: InstanceId, load: ForwardLoad, nowMs: Long) {
         val report = Report(load, nowMs, load.byUpstream())
-        synchronized(this) {
+        val replaced = synchronized(this) {
             when (load.scope) {
                 LoadScope.INSTANCE -> instanceReports.replaceIfNewer(from, report, ::count)
 
@@ -46,17 +50,21 @@
                 }
             }
         }
+        // The listener may wait for a lock whose owner reads the loads.
+        if (replaced != null && load.showsLessThan(replaced.load)) onLessWork()
     }
 
+    // Returns the report that was replaced, or null if there is none.
     private inline fun <K : Any> MutableMap<K, Report>.replaceIfNewer(
         key: K,
         report: Report,
         onReplaced: (Report?, Report) -> Unit,
-    ) {
+    ): Report? {
         val last = this[key]
-        if (last != null && last.load.isNewerThan(report.load)) return
+        if (last != null && last.load.isNewerThan(report.load)) return null
         this[key] = report
         onReplaced(last, report)
+        return last
     }
 
     // Replaces [last] by [new] in the sums; both are of the same sender.
@@ -91,10 +99,7 @@
     /** Work of all other instances at [nowMs]. Reports older than [MAX_AGE_MS] do not count. */
     @Synchronized
     fun at(nowMs: Long): PeerWork {
-        removeExpired(nowMs)
-        // Either the reports of instances and data centres or the newest total of the fleet, whichever covers more instances, so that
-        // no work is counted twice.
-        val total = lastFleetReport?.takeIf { it.isFresh(nowMs) && it.load.instances > countedInstances }
+        val total = countingTotal(nowMs)
         return if (total == null) {
             PeerWork(countedWork, countedInstances) { synchronized(this) { countedShortStreams.at(it) } }
         } else {
@@ -102,11 +107,24 @@
         }
     }
 
+    // Either the reports of instances and data centres count, or, if it covers more instances, the newest total of the fleet, which is then
+    // returned, so that no work is counted twice.
+    private fun countingTotal(nowMs: Long): Report? {
+        removeExpired(nowMs)
+        return lastFleetReport?.takeIf { it.isFresh(nowMs) && it.load.instances > countedInstances }
+    }
+
+    /** Recent work of all other instances by organisation, in milliseconds, from the reports that count at [nowMs]. */
+    fun recentWork(nowMs: Long): Map<Int, Double> {
+        val sources = synchronized(this) { countingTotal(nowMs)?.let(::listOf) ?: counted.toList() }
+        return sumOfWork(sources.map { it.recentWork })
+    }
+
     /** Time since the last report of [instance], in milliseconds, or null if there was none. */
     fun silentMs(instance: InstanceId, nowMs: Long): Long? = instanceReports[instance]?.let { nowMs - it.atMs }
 
-    /** Totals of the recent reports to this collector and of its [own] work. */
-    fun totals(own: Map<Int, UpstreamWork>, nowMs: Long): LoadTotals {
+    /** Totals of the recent reports to this collector, of its [own] work and of its [ownRecentWork] by organisation. */
+    fun totals(own: Map<Int, UpstreamWork>, nowMs: Long, ownRecentWork: Map<Int, Double> = emptyMap()): LoadTotals {
         val fresh = instanceReports.filterValues { it.isFresh(nowMs) }.mapValues { it.value.work }
         val remote = dataCentreReports.values.filter { it.isFresh(nowMs) }
         return LoadTotals(
@@ -114,6 +132,11 @@
             instanceReports = fresh,
             remote = sum(remote.map { it.work }),
             remoteInstances = remote.sumOf { it.load.instances },
+            recentWork = RecentWorkTotals(
+                ownRecentWork,
+                instanceReports.filterValues { it.isFresh(nowMs) }.mapValues { it.value.recentWork },
+                remote.map { it.recentWork },
+            ),
         )
     }
 
@@ -154,25 +177,27 @@
  * @property instanceReports work of each other instance in the collector's data centre.
  * @property remote work of the other data centres.
  * @property remoteInstances number of instances whose work [remote] covers.
+ * @property recentWork recent work by organisation of the same instances.
  */
 class LoadTotals(
     private val local: Map<Int, UpstreamWork>,
     private val instanceReports: Map<InstanceId, Map<Int, UpstreamWork>>,
     private val remote: Map<Int, UpstreamWork>,
     private val remoteInstances: Int,
+    private val recentWork: RecentWorkTotals,
 ) {
     private val total = sum(listOf(local, remote))
 
     /** Builds the message to the collectors of other data centres: the work of [dataCentre], which is this collector's. */
     fun ofDataCentre(dataCentre: String, wallMs: Long): ForwardLoad =
-        ForwardLoad.of(local, wallMs, instanceReports.size + 1, LoadScope.DATA_CENTRE, dataCentre)
+        ForwardLoad.of(local, wallMs, instanceReports.size + 1, LoadScope.DATA_CENTRE, dataCentre, recentWork.ofDataCentre())
 
     /** Builds the message to [receiver], an instance of this data centre: the work of the fleet without that of the receiver. */
     fun except(receiver: InstanceId, wallMs: Long): ForwardLoad {
         val all = HashMap(total)
         instanceReports[receiver]?.forEach { (key, own) -> all.computeIfPresent(key) { _, work -> work - own } }
         val instances = instanceReports.keys.count { it != receiver } + 1 + remoteInstances
-        return ForwardLoad.of(all, wallMs, instances, LoadScope.FLEET)
+        return ForwardLoad.of(all, wallMs, instances, LoadScope.FLEET, recentWork = recentWork.except(receiver))
     }
 }
 
--- a/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RequestPlacer.kt
@@ -3,10 +3,12 @@
 import org.godwitwick.core.forward.AdmittedTarget
 import org.godwitwick.core.forward.CallerWait
 import org.godwitwick.core.forward.ForwardService
+import org.godwitwick.core.forward.PrefillForecast
 import org.godwitwick.core.forward.RouteKind
 import org.godwitwick.core.forward.StatedRank
 import org.godwitwick.core.forward.UpstreamEntry
 import org.godwitwick.core.forward.UpstreamList
+import org.godwitwick.core.model.InstanceId
 
 /** Chooses the upstream for each send of one request, preferring those not tried before. Used by one thread. */
 class RequestPlacer(private val context: ForwardContext, private val request: CallerRequest) {
@@ -32,15 +34,43 @@
         return if (regions == null) present else present.where { context.regions.allowsUpstream(regions, it.dataCentre) }
     }
 
-    /** Places the request as [target] says at the service called [serviceName], for a caller that has waited as [wait] says. */
-    fun place(service: ForwardService?, serviceName: String, target: AdmittedTarget, wait: CallerWait): PlacementDecision {
+    /**
+     * Places the request as [target] says at the service called [serviceName], for a caller that has waited as [wait] says.
+     *
+     * @param kept engines that are kept for requests ahead of this one.
+     */
+    fun place(
+        service: ForwardService?,
+        serviceName: String,
+        target: AdmittedTarget,
+        wait: CallerWait,
+        kept: Set<InstanceId> = emptySet(),
+    ): PlacementDecision {
         val known = presentAt(serviceName, target.regions).withoutAddresses(avoided)
         val open = openOf(known)
         if (open.isEmpty() && known.isNotEmpty()) return PlacementDecision.Limited(context.statements.waitsMs(known))
         val pauses = context.fleetView.routing.table?.pauseTargetsOf(serviceName)
         val isStreaming = target.route.kind is RouteKind.Streaming
         val demand = ForwardDemand(request.size, wait, isStreaming, pauses, rankAt(serviceName, target), request.prefixes)
-        return placeOn(open.without(triedProcesses).ifEmpty { open }, demand, service)
+        val candidates = open.without(triedProcesses).ifEmpty { open }
+        return if (kept.isEmpty()) placeOn(candidates, demand, service) else placeBeside(kept, candidates, demand, service)
+    }
+
+    // Sends the request only if it can begin without the engines in [kept]; otherwise it waits for those that it would get if none were
+    // kept, so that it is rejected only if these cannot answer it in time either.
+    private fun placeBeside(
+        kept: Set<InstanceId>,
+        candidates: UpstreamList,
+        demand: ForwardDemand,
+        service: ForwardService?,
+    ): PlacementDecision {
+        val free = candidates.where { it.id !in kept }
+        if (free.isNotEmpty()) placeOn(free, demand, service).let { if (it is PlacementDecision.Send) return it }
+        val decision = context.placer.place(demand, service?.engine, candidates, Clocks.steadyMs())
+        if (decision !is PlacementDecision.Send) return decision
+        val queuedMs = decision.work.queuedPrefillMs
+        val forecast = PrefillForecast(decision.work.prefillMs, queuedMs.values.maxOrNull() ?: 0.0)
+        return PlacementDecision.Wait(forecast, decision.inputs, queuedMs.keys)
     }
 
     /** Rank of the request, [admitted] as given, at the service called [serviceName]; null if the service is not contended by rank. */
--- a/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamAttempt.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/UpstreamAttempt.kt
@@ -24,7 +24,9 @@
     /** Makes one attempt at the service called [serviceName]; returns null if the request is to be placed again. */
     fun run(admitted: AdmittedTarget, serviceName: String, lastEventId: Long?): RunOutcome? {
         val spec = context.fleetView.routing.table?.serviceOf(serviceName)
-        val decision = placer.place(spec, serviceName, admitted, callerWait(admitted.route))
+        val wait = callerWait(admitted.route)
+        val kept = state.rankedTurn.prepare(admitted, serviceName, wait) ?: return awaitRanked(null)
+        val decision = placer.place(spec, serviceName, admitted, wait, kept)
         state.ranks.onDecision(serviceName, decision)
         return when (decision) {
             is PlacementDecision.Send -> {
@@ -32,7 +34,7 @@
                 sendPlaced(decision.work, admitted, lastEventId)
             }
 
-            is PlacementDecision.Wait -> awaitTurn(decision.forecast)
+            is PlacementDecision.Wait -> if (state.rankedTurn.isNeeded) awaitRanked(decision) else awaitTurn(decision.forecast)
 
             is PlacementDecision.Reject -> RunOutcome.Failed(RunFailures.backlog(decision.retryAfterMs))
 
@@ -45,7 +47,7 @@
     // Returns null if the request is to be placed again, at another upstream or later.
     private fun sendPlaced(work: PlacedWork, admitted: AdmittedTarget, lastEventId: Long?): RunOutcome? {
         val placement = work.placement
-        val progress = context.loads.begin(work, Clocks.steadyMs())
+        val progress = state.rankedTurn.onPlaced(work, context.loads.begin(work, Clocks.steadyMs()))
         if (work.isLongPrompt) context.onLongPromptPlaced()
         val reservedHelpers = context.reservations.reserve(placement, request.id).getOrElse { refusing ->
             progress.end()
@@ -63,6 +65,7 @@
             )
             return null
         }
+        state.rankedTurn.onSend()
         val endAttempt = {
             guard.detach()
             progress.end()
@@ -115,6 +118,8 @@
     private fun awaitLimit(waitsMs: List<Long>, service: ForwardService?, route: ForwardRoute): RunOutcome? {
         val waitMs = service?.cold?.let { context.limitQueue.begin(service.name, waitsMs, callerWait(route), Clocks.steadyMs()) }
         if (waitMs == null) return RunOutcome.Failed(RunFailures.limited(waitsMs.firstOrNull(), context.random.nextDouble()))
+        // A prompt that kept its turn during this wait would hold up those behind it.
+        state.rankedTurn.end()
         val mayGoOn = try {
             guard.pause(waitMs.coerceAtLeast(1))
         } finally {
@@ -128,8 +133,18 @@
     private fun awaitTurn(forecast: PrefillForecast): RunOutcome? {
         val hasBegun = state.turn.begin(state.service.orEmpty(), forecast, state.elapsedMs())
         if (!hasBegun) return RunOutcome.Failed(RunFailures.backlog(forecast.backlogMs.toLong()))
-        if (state.turn.await()) return null
-        return RunOutcome.Failed(interruption())
+        return if (state.turn.await()) null else RunOutcome.Failed(interruption())
+    }
+
+    // Returns null if the request is to be placed again.
+    private fun awaitRanked(decision: PlacementDecision.Wait?): RunOutcome? {
+        // The configuration may have stated ranks while the request waited without an order.
+        state.turn.end(state.elapsedMs())
+        return when (state.rankedTurn.await(decision)) {
+            RankedTurnEnd.TURN -> null
+            RankedTurnEnd.REFUSED -> RunOutcome.Failed(state.rankedTurn.refusal(decision?.forecast))
+            RankedTurnEnd.CANCELLED -> RunOutcome.Failed(interruption())
+        }
     }
 
     private fun interruption(): Failure = if (guard.cancelReason == CancelReason.STOPPING) {
--- a/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
@@ -21,6 +21,7 @@
 import org.godwitwick.core.forward.UpstreamList
 import org.godwitwick.core.forward.UpstreamView
 import org.godwitwick.core.forward.UpstreamWork
+import org.godwitwick.core.model.InstanceId
 import org.godwitwick.core.prefix.PromptPrefix
 import kotlin.random.Random
 
@@ -47,8 +48,14 @@
     /** The request is sent as [work] says; [inputs] are those of a decision by rank. */
     data class Send(val work: PlacedWork, val inputs: RankedInputs? = null) : PlacementDecision
 
-    /** The engines have too much prefill pending for a prefill as in [forecast]; the request is placed again a little later. */
-    data class Wait(val forecast: PrefillForecast, val inputs: RankedInputs? = null) : PlacementDecision
+    /**
+     * The engines have too much prefill pending for a prefill as in [forecast]; the request is placed again a little later.
+     *
+     * @property inputs those of a decision by rank.
+     * @property engines the engines on which it would be placed, as far as the decision knows them.
+     */
+    data class Wait(val forecast: PrefillForecast, val inputs: RankedInputs? = null, val engines: Set<InstanceId> = emptySet()) :
+        PlacementDecision
 
     /** The request cannot be answered in time; the engines may take it after [retryAfterMs]. */
     data class Reject(val retryAfterMs: Long) : PlacementDecision
@@ -87,7 +94,7 @@
         val forecast = PrefillForecast(work.prefillMs, work.queuedPrefillMs.values.maxOrNull() ?: 0.0)
         return when (val start = startRule.decide(demand.wait, forecast, nowMs)) {
             is PrefillStart.Begin -> PlacementDecision.Send(work)
-            is PrefillStart.Wait -> PlacementDecision.Wait(forecast)
+            is PrefillStart.Wait -> PlacementDecision.Wait(forecast, engines = work.queuedPrefillMs.keys)
             is PrefillStart.Reject -> PlacementDecision.Reject(start.retryAfterMs)
         }
     }
@@ -105,7 +112,7 @@
                 PlacementDecision.Send(work, decision.inputs)
             }
 
-            is RankedDecision.Wait -> PlacementDecision.Wait(decision.inputs.forecast, decision.inputs)
+            is RankedDecision.Wait -> PlacementDecision.Wait(decision.inputs.forecast, decision.inputs, decision.engines)
 
             is RankedDecision.Reject -> PlacementDecision.Reject(decision.retryAfterMs)
 
--- a/node/src/test/kotlin/org/godwitwick/node/forward/OccupiedPeerPortTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/OccupiedPeerPortTest.kt
@@ -29,7 +29,9 @@
         val port = occupied.localPort
         val self = RegisteredInstance(InstanceId("entry-1"), "north-a", "127.0.0.1:$port")
         val crashGuard = CrashGuard(Clocks::steadyMs, {}) {}
-        ForwardPeers(self, Registry(rounds), UpstreamLoads(), PeerLoads(), emptyMap(), crashGuard, {}, {}).use { peers ->
+        ForwardPeers(self, Registry(rounds), UpstreamLoads(), PeerLoads(), {
+            emptyMap()
+        }, emptyMap(), crashGuard, {}, {}).use { peers ->
             peers.start()
             check(rounds.await(10, TimeUnit.SECONDS)) { "registration ended" }
             occupied.close()
--- a/node/src/test/kotlin/org/godwitwick/node/forward/PeerLoadsTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/forward/PeerLoadsTest.kt
@@ -10,6 +10,8 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 
 class PeerLoadsTest {
@@ -78,6 +80,26 @@
         }
     }
 
+    // Guards against waiting prompts that are not placed again after a report of less work, and against a deadlock: they read the loads from
+    // other threads while the listener runs.
+    @Test
+    fun `a report of less work is announced once, while others can read the loads`() {
+        var announced = 0
+        lateinit var peerLoads: PeerLoads
+        peerLoads = PeerLoads {
+            announced++
+            CompletableFuture.supplyAsync { peerLoads.at(0).instances + peerLoads.recentWork(0).size }.get(10, TimeUnit.SECONDS)
+        }
+        fun report(sentAtMs: Long, running: Int) {
+            val work = mapOf(ForwardLoad.keyOf(upstreams.first().id) to UpstreamWork(running = running))
+            peerLoads.onReport(InstanceId("entry-1"), ForwardLoad.of(work, sentAtMs), 0)
+        }
+        listOf(100L to 2, 300L to 3, 200L to 1).forEach { (sentAtMs, running) -> report(sentAtMs, running) }
+        expectThat(announced).isEqualTo(0)
+        report(400, 1)
+        expectThat(announced).isEqualTo(1)
+    }
+
     // Guards against a sum that keeps the streams of a process that has been replaced, or subtracts them twice.
     @Test
     fun `the short streams of this instance are those of the present processes`() {
