--- a/node/src/test/kotlin/org/godwitwick/node/LogPrefixTest.kt
+++ b/node/src/test/kotlin/org/godwitwick/node/LogPrefixTest.kt
@@ -12,7 +12,8 @@
 /** Guards against log lines that cannot be filtered by component. Add new prefixes here and in docs/operators/running.md. */
 class LogPrefixTest {
     private val upstreamPrefixes = listOf("engine", "group", "list", "log", "order", "place", "service", "upstream", "weights")
-    private val forwardPrefixes = listOf("evacuation", "feed", "forward", "quarantine", "reach", "reserve", "start", "stop", "store")
+    private val forwardPrefixes =
+        listOf("evacuation", "feed", "forward", "quarantine", "reach", "reserve", "start", "stop", "store")
     private val prefixes =
         "admin admit claim config control drain health http node peer".split(' ') + upstreamPrefixes + forwardPrefixes
     private val logCall = Regex("""\blog\.(?:trace|debug|info|warn|error)\(\s*"([a-z]+:)?""")
