Leave room on the shared engines for arrivals that are not reported yet

The engines that a level shares were counted from the known streams and one more, so the arrivals of the half second until a report arrives queued at a few engines. Each level now shares an eighth of all engines more.

--- a/core/src/main/kotlin/org/godwitwick/core/forward/RankedPlacementRule.kt
+++ b/core/src/main/kotlin/org/godwitwick/core/forward/RankedPlacementRule.kt
@@ -61,7 +61,7 @@
     ): Int {
         if (level <= 0 || knownShare <= 0.0) return 0
         val streams = order.sumOf { outranking(it.work, level, ranks) } / knownShare
-        return (streams / (profile.slots * settings.streamShare)).toInt() + 1
+        return (streams / (profile.slots * settings.streamShare)).toInt() + maxOf(1, (order.size * settings.spareShare).toInt())
     }
 
     private fun placeShort(demand: RankedDemand, profile: EngineProfile, layout: RankedLayout, nowMs: Long): RankedDecision {
@@ -212,6 +212,8 @@
  * @property maxEngines maximum number of engines for one prompt: the first and the 16 helpers that the platform allows.
  * @property streamShare fraction of an engine's slots that streams fill before one more engine is shared; the rest is left for arrivals
  *   that are not known yet.
+ * @property spareShare fraction of all engines that each level shares beyond that, for arrivals at other instances that are not reported yet.
+ *   With one spare engine in a fleet of 78, the arrivals of half a second queued at a few engines.
  * @property sampleSize number of shared engines that are compared for a short prompt.
  * @property maxCompared number of engines that are compared if a short prompt would be late on all of the first sample. If a tenth of the
  *   engines is free, all of 48 are busy in one of 150 cases.
@@ -237,6 +239,7 @@
 data class RankedPlacementSettings(
     val maxEngines: Int = 17,
     val streamShare: Double = 0.6,
+    val spareShare: Double = 0.125,
     val sampleSize: Int = 3,
     val maxCompared: Int = 48,
     val queuedRequestMs: Double = 200.0,
