--- a/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/WorkPlacer.kt
@@ -85,7 +85,9 @@
     /** Places [demand] on some of [candidates]. [engine] is null for plain services. */
     fun place(demand: ForwardDemand, engine: EngineProfile?, candidates: UpstreamList, nowMs: Long): PlacementDecision {
         val known = KnownCandidates(candidates, peerLoads.at(nowMs), nowMs, demand, engine)
-        if (demand.rank != null && demand.size != null && engine != null) {
+        // Short prompts are placed as in services without ranks: in a large fleet, the arrivals that are not reported yet queue at the few
+        // engines that a level shares.
+        if (demand.rank != null && demand.size?.isShort == false && engine != null) {
             return placeRanked(demand, RankedDemand(demand.size, demand.wait, demand.rank), engine, known)
         }
         val placement = placementOf(demand, engine, known) ?: return PlacementDecision.NoUpstream
