--- a/node/src/main/kotlin/org/godwitwick/node/forward/RankedTurn.kt
+++ b/node/src/main/kotlin/org/godwitwick/node/forward/RankedTurn.kt
@@ -42,8 +42,10 @@
         service = serviceName
         organisation = RecentWork.keyOf(admitted.organisation)
         val work = workMs
-        // The same distinction as in the ranked placement, which lets only long prompts wait.
-        if (rank == null || work == null || size == null || engine == null || RankedDemand(size, wait, rank).isShort(engine)) {
+        // Only prompts that are placed by rank and are long may wait, see WorkPlacer.
+        val mayWait =
+            rank != null && size != null && engine != null && !size.isShort && !RankedDemand(size, wait, rank).isShort(engine)
+        if (!mayWait || work == null) {
             // The configuration may have changed while the request waited.
             end()
             prompt = null
